Add the node interface that hosts drive

Cause: the daemon's adapters and the node are written at the same time and need one boundary. Change: node_interface (handle, next_deadline, describe, ready) and node_settings with the factory make_node.

--- /dev/null
+++ b/include/jackdawvane/node.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "jackdawvane/node_interface.hpp"
+#include "jackdawvane/store.hpp"
+#include "jackdawvane/time.hpp"
+#include "jackdawvane/types.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace jackdawvane {
+
+/// @brief Settings of a node; the defaults suit a fleet of 7 to 9 VMs.
+struct node_settings {
+    vm_entry self;                ///< This VM as other VMs see it.
+    vm_incarnation incarnation;   ///< Higher than that of every earlier process of this VM.
+    std::vector<endpoint> seeds;  ///< Peer endpoints to ask when the store does not answer.
+    std::uint64_t random_seed{1}; ///< Seed of the node's random engine.
+    duration status_wait{from_milliseconds(250)};          ///< Long poll of backend servers.
+    duration probe_timeout{from_milliseconds(150)};        ///< Before a backend server is dead.
+    duration promotion_rank_delay{from_milliseconds(200)}; ///< Step between candidates.
+    duration lease_renewal{std::chrono::seconds{10}};      ///< Interval of lease renewals.
+    duration lease_duration{std::chrono::seconds{30}};     ///< Life of a lease not renewed.
+    duration token_wait{from_milliseconds(50)};            ///< Longest wait for tokens of peers.
+    std::size_t holders_per_domain{3};                     ///< Share holders per failure domain.
+    duration drain_timeout{std::chrono::seconds{30}};      ///< Longest graceful shutdown.
+};
+
+/// @brief Makes a node out of all parts of this library.
+[[nodiscard]] std::unique_ptr<node_interface> make_node(const node_settings& settings);
+
+} // namespace jackdawvane
--- /dev/null
+++ b/include/jackdawvane/node_interface.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "jackdawvane/ports.hpp"
+#include "jackdawvane/time.hpp"
+
+#include <json/json.h>
+
+namespace jackdawvane {
+
+/// @brief What a host drives: events go in, actions come out.
+///
+/// A node does no I/O and reads no clock. It is not thread-safe: one thread calls it.
+class node_interface {
+  public:
+    node_interface() = default;
+    node_interface(const node_interface&) = delete;
+    node_interface& operator=(const node_interface&) = delete;
+    virtual ~node_interface() = default;
+
+    /// @brief Takes one event.
+    /// @param now time of the event; never earlier than that of the event before
+    /// @param what the event
+    /// @param out actions are appended; the host carries them out in order
+    virtual void handle(time_point now, const event& what, actions& out) = 0;
+
+    /// @brief Time at which the host has to deliver a `timer_tick` at the latest.
+    [[nodiscard]] virtual time_point next_deadline() const = 0;
+
+    /// @brief State for operators: configuration revision, VMs, groups, shares, queues.
+    [[nodiscard]] virtual Json::Value describe() const = 0;
+
+    /// @brief Whether the node has a configuration and accepts requests.
+    [[nodiscard]] virtual bool ready() const = 0;
+};
+
+} // namespace jackdawvane
