--- /dev/null
+++ b/include/jackdawvane/transaction_handle.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "jackdawvane/caller.hpp"
+#include "jackdawvane/error.hpp"
+#include "jackdawvane/types.hpp"
+
+#include <cstdint>
+
+namespace jackdawvane {
+
+/// @brief Contents of a transaction id: where the transaction is pinned.
+struct transaction_handle {
+    vm_id owner;                ///< VM that holds the pinned connection.
+    vm_incarnation incarnation; ///< Process life of that VM.
+    std::uint64_t number{0};    ///< Number at that VM.
+    access_mode mode{access_mode::read};
+    group_id group;
+    backend_server_id backend;
+
+    friend bool operator==(const transaction_handle&, const transaction_handle&) = default;
+};
+
+/// @brief Text of @a handle.
+[[nodiscard]] transaction_id encode_transaction(const transaction_handle& handle);
+
+/// @brief Reads a transaction id.
+/// @return the handle, or `unknown_transaction` when @a id was not made by @ref encode_transaction
+[[nodiscard]] result<transaction_handle> decode_transaction(const transaction_id& id);
+
+} // namespace jackdawvane
