Add the owner of a backend server

Cause: requests for one backend server need a fair queue, pinned connections and exactly one reply each, at the VM that owns the server. Ruled out: reusing a connection after a timeout or a crossed answer, since a late answer would be taken for the next one; the server's whole status position as a write's session position, since entries behind the write may be discarded by a failover.

--- /dev/null
+++ b/include/jackdawvane/admission.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "jackdawvane/error.hpp"
+#include "jackdawvane/types.hpp"
+
+namespace jackdawvane {
+
+/// @brief Verdict of the rate limit on one request.
+enum class admission_state { admitted, refused, pending };
+
+/// @brief Verdict of the rate limit, at once or later.
+struct admission {
+    request_id handle;
+    admission_state state{admission_state::pending};
+    error problem{error_kind::none, {}, {}}; ///< Set when refused.
+};
+
+} // namespace jackdawvane
--- /dev/null
+++ b/include/jackdawvane/backend_owner.hpp
@@ -0,0 +1,175 @@
+#pragma once
+
+#include "jackdawvane/configuration.hpp"
+#include "jackdawvane/connection_pool.hpp"
+#include "jackdawvane/fair_queue.hpp"
+#include "jackdawvane/fencing_policy.hpp"
+#include "jackdawvane/group_monitor.hpp"
+#include "jackdawvane/peer.hpp"
+#include "jackdawvane/ports.hpp"
+#include "jackdawvane/time.hpp"
+#include "jackdawvane/types.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jackdawvane {
+
+/// @brief A forwarded request with the VM that waits for its reply.
+struct owner_request {
+    forward_request request;
+    vm_id from;
+    time_point deadline;
+    time_point arrived;
+};
+
+/// @brief Reply to a forwarded request; the node delivers it.
+struct owner_reply {
+    vm_id to;
+    forward_reply reply;
+};
+
+/// @brief Settings of a backend owner.
+struct backend_owner_settings {
+    vm_id self;
+    vm_incarnation incarnation;
+    duration catch_up_wait{from_milliseconds(40)};      ///< Longest wait for a replica.
+    duration transaction_idle{std::chrono::seconds{5}}; ///< Before an idle one is rolled back.
+    duration suspect_after{from_milliseconds(300)};     ///< Silence of a statement in hand.
+    std::size_t queue_limit{256};                       ///< Queued requests per organisation.
+    connection_pool_settings pool;
+};
+
+/// @brief Runs all requests for one backend server at the VM that owns it.
+///
+/// Requests wait in a queue that is fair between organisations. At most as many statements are in
+/// hand as the backend server has slots. A connection serves one request at a time, is pinned
+/// for the length of an interactive transaction, and is closed when its state is in doubt.
+class backend_owner {
+  public:
+    /// @param monitor view of the backend server's group; outlives this object
+    backend_owner(group_id group, backend_server_id backend, group_monitor& monitor,
+                  id_sequence<connection_id>& connections, id_sequence<request_id>& requests,
+                  backend_owner_settings settings);
+
+    void configure(const backend_server_row& row);
+
+    /// @brief Takes a request; it gets exactly one reply.
+    void submit(time_point now, owner_request request, actions& out);
+
+    /// @brief Whether the connection belonged to this owner.
+    bool on_connected(time_point now, connection_id id, actions& out);
+    bool on_disconnected(time_point now, connection_id id, actions& out);
+    bool on_answer(time_point now, connection_id id, const backend_answer& answer, actions& out);
+
+    /// @brief The group view changed: settles waiting writes and reads.
+    void on_view_change(time_point now, actions& out);
+
+    /// @brief This VM no longer owns the backend server: queued requests are handed back, those
+    /// in hand finish.
+    void retire(time_point now, actions& out);
+    /// @brief Whether nothing is in hand any more.
+    [[nodiscard]] bool idle() const noexcept;
+    [[nodiscard]] bool retired() const noexcept { return retired_; }
+
+    void tick(time_point now, actions& out);
+    [[nodiscard]] time_point next_deadline() const;
+
+    /// @brief Replies made since the last call.
+    [[nodiscard]] std::vector<owner_reply> take_replies();
+
+    [[nodiscard]] Json::Value describe() const;
+
+  private:
+    /// Interactive transaction with its pinned connection.
+    struct transaction {
+        organisation_id organisation;
+        access_mode mode{access_mode::read};
+        fencing_mode fencing{fencing_mode::majority};
+        connection_id connection;
+        bool busy{false};
+        time_point last_use;
+        std::deque<owner_request> waiting;
+    };
+
+    /// Request that a connection is working on.
+    struct running_request {
+        owner_request job;
+        request_id id;
+        time_point sent;
+        std::optional<transaction_id> transaction;
+        duration data_age{0}; ///< Bound on the age of the data when the request was sent.
+        bool reported_slow{false};
+    };
+
+    /// Write that ran and waits for a majority, or read that waits for the backend server.
+    struct waiting_write {
+        owner_request job;
+        backend_answer answer;
+    };
+    struct waiting_read {
+        owner_request job;
+        time_point give_up;
+    };
+
+    void dispatch(time_point now, actions& out);
+    bool dispatch_transaction(time_point now, actions& out);
+    bool dispatch_queued(time_point now, actions& out);
+    void enqueue(time_point now, owner_request job, actions& out);
+    void submit_to_transaction(time_point now, owner_request job, actions& out);
+    [[nodiscard]] std::optional<error> check_write(time_point now, const owner_request& job) const;
+    /// @return false when the request was answered or parked instead
+    bool check_before_run(time_point now, owner_request& job, actions& out);
+    bool check_session(time_point now, owner_request& job, const backend_status& status,
+                       actions& out);
+    void park(time_point now, owner_request job, actions& out);
+    void run(time_point now, connection_id connection, owner_request job,
+             std::optional<transaction_id> transaction, actions& out);
+    [[nodiscard]] backend_request make_request(const owner_request& job) const;
+
+    void complete(time_point now, connection_id connection, running_request done,
+                  const backend_answer& answer, actions& out);
+    void complete_begin(time_point now, connection_id connection, owner_request job,
+                        const backend_answer& answer, actions& out);
+    void complete_write(time_point now, owner_request job, const backend_answer& answer,
+                        actions& out);
+    void complete_read(time_point now, owner_request job, const backend_answer& answer,
+                       actions& out);
+    [[nodiscard]] static bool exceeds_staleness(time_point now, const running_request& done);
+    void fail_running(time_point now, connection_id connection, error_kind kind, actions& out);
+    void end_transaction(time_point now, const transaction_id& id, bool clean, actions& out);
+    void expire_transactions(time_point now, actions& out);
+    void expire_running(time_point now, actions& out);
+    void expire_waiting(time_point now, actions& out);
+
+    void reply_done(time_point now, const owner_request& job, const backend_answer& answer,
+                    const transaction_id& opened, actions& out);
+    void reply_problem(time_point now, const owner_request& job, outcome result, error problem);
+    [[nodiscard]] const fencing_policy& policy(fencing_mode mode) const;
+    [[nodiscard]] bool is_primary() const;
+    /// Last status of the backend server; empty before the first one.
+    [[nodiscard]] const backend_status& own_status() const;
+
+    group_id group_;
+    backend_server_id backend_;
+    group_monitor& monitor_;
+    id_sequence<request_id>& request_ids_;
+    backend_owner_settings settings_;
+    backend_server_row row_;
+    connection_pool pool_;
+    fair_queue<owner_request> queue_;
+    std::map<connection_id, running_request> running_;
+    std::map<transaction_id, transaction> transactions_;
+    std::vector<waiting_write> waiting_writes_;
+    std::vector<waiting_read> waiting_reads_;
+    std::vector<owner_reply> replies_;
+    std::uint64_t next_transaction_{1};
+    bool retired_{false};
+};
+
+} // namespace jackdawvane
--- a/include/jackdawvane/request_executor.hpp
+++ b/include/jackdawvane/request_executor.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jackdawvane/admission.hpp"
 #include "jackdawvane/configuration.hpp"
 #include "jackdawvane/id_sequence.hpp"
 #include "jackdawvane/peer.hpp"
@@ -20,15 +21,6 @@
 
 namespace jackdawvane {
 
-/// @brief Verdict of the rate limit on one request.
-enum class admission_state { admitted, pending, refused };
-
-/// @brief Verdict of the rate limit with the reason of a refusal.
-struct admission_verdict {
-    admission_state state{admission_state::refused};
-    error problem{error_kind::none, {}, {}};
-};
-
 /// @brief What the executor needs to know to order backend servers for one attempt.
 struct routing_query {
     const pool_row& pool;
@@ -53,9 +45,9 @@
     [[nodiscard]] virtual bool isolated(time_point now) const = 0;
     /// @brief Asks the rate limit; a pending verdict is followed by @ref
     /// request_executor::on_admission.
-    [[nodiscard]] virtual admission_verdict admit(time_point now, caller_id caller,
-                                                  const organisation_id& organisation,
-                                                  time_point deadline, actions& out) = 0;
+    [[nodiscard]] virtual admission admit(time_point now, caller_id caller,
+                                          const organisation_id& organisation, time_point deadline,
+                                          actions& out) = 0;
     /// @brief Backend servers to try, in order.
     [[nodiscard]] virtual std::vector<backend_server_id> plan(time_point now,
                                                               const routing_query& query) = 0;
@@ -95,8 +87,7 @@
     /// @brief The caller no longer waits; its request is forgotten, a write may still run.
     void on_caller_gone(caller_id caller);
     /// @brief Final verdict on a request whose admission was pending.
-    void on_admission(time_point now, caller_id caller, const admission_verdict& verdict,
-                      actions& out);
+    void on_admission(time_point now, caller_id caller, const admission& verdict, actions& out);
     /// @brief An owner's answer.
     void on_reply(time_point now, const forward_reply& reply, actions& out);
     /// @brief Requests that went to @a vm may be lost.
--- a/src/core/request_executor.cpp
+++ b/src/core/request_executor.cpp
@@ -77,8 +77,8 @@
     }
 }
 
-void request_executor::on_admission(time_point now, caller_id caller,
-                                    const admission_verdict& verdict, actions& out) {
+void request_executor::on_admission(time_point now, caller_id caller, const admission& verdict,
+                                    actions& out) {
     const auto found = requests_.find(caller);
     if (found == requests_.end() || found->second.state != phase::admission) {
         return;
--- a/tests/core/request_executor_test.cpp
+++ b/tests/core/request_executor_test.cpp
@@ -42,9 +42,9 @@
         return organisation_id{"bar"};
     }
     [[nodiscard]] bool isolated(time_point /*now*/) const override { return cut_off; }
-    admission_verdict admit(time_point /*now*/, caller_id /*caller*/,
-                            const organisation_id& /*organisation*/, time_point /*deadline*/,
-                            actions& /*out*/) override {
+    admission admit(time_point /*now*/, caller_id /*caller*/,
+                    const organisation_id& /*organisation*/, time_point /*deadline*/,
+                    actions& /*out*/) override {
         return verdict;
     }
     std::vector<backend_server_id> plan(time_point /*now*/, const routing_query& query) override {
@@ -69,7 +69,7 @@
     configuration_document document;
     bool configured{true};
     bool cut_off{false};
-    admission_verdict verdict{admission_state::admitted, {error_kind::none, {}, {}}};
+    admission verdict{{}, admission_state::admitted, {error_kind::none, {}, {}}};
     std::vector<backend_server_id> write_plan{backend_server_id{"a"}};
     std::vector<backend_server_id> read_plan{backend_server_id{"b"}, backend_server_id{"a"}};
     std::vector<forward_request> forwarded;
@@ -185,7 +185,8 @@
                      error_kind::deadline_exceeded},
         refusal_case{"over_rate",
                      [](fake_services& s, caller_request&) {
-                         s.verdict = {admission_state::refused,
+                         s.verdict = {{},
+                                      admission_state::refused,
                                       {error_kind::rate_exceeded, {}, from_milliseconds(5)}};
                      },
                      error_kind::rate_exceeded},
--- /dev/null
+++ b/tools/mutation-check.py
@@ -0,0 +1,94 @@
+#!/usr/bin/env python3
+"""Shows that each guarantee's test fails without its mechanism.
+
+Reads tests/mutations/*.json. Each entry disables one mechanism by a text replacement in a copy of
+the sources, builds the named test there and expects it to fail. An entry whose text is not found,
+whose build fails or whose test still passes is an error.
+
+usage: tools/mutation-check.py [NAME...]
+"""
+import json
+import pathlib
+import shutil
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+WORK = ROOT / "build-mutation"
+SOURCES = ["CMakeLists.txt", "include", "src", "tests"]
+
+
+def run(command, **options):
+    return subprocess.run(command, capture_output=True, text=True, check=False, **options)
+
+
+def copy_sources():
+    tree = WORK / "tree"
+    for name in SOURCES:
+        source, target = ROOT / name, tree / name
+        target.parent.mkdir(parents=True, exist_ok=True)
+        # rsync-like copy that keeps the times of unchanged files, so that ninja rebuilds little.
+        if source.is_dir():
+            shutil.copytree(source, target, dirs_exist_ok=True, copy_function=copy_if_changed)
+        else:
+            copy_if_changed(source, target)
+    return tree
+
+
+def copy_if_changed(source, target):
+    source, target = pathlib.Path(source), pathlib.Path(target)
+    if not target.exists() or target.read_bytes() != source.read_bytes():
+        shutil.copyfile(source, target)
+    return target
+
+
+def check(tree, entry):
+    path = tree / entry["file"]
+    original = path.read_text()
+    if original.count(entry["from"]) != 1:
+        return "text to replace found %d times" % original.count(entry["from"])
+    path.write_text(original.replace(entry["from"], entry["to"]))
+    try:
+        build = WORK / "build"
+        built = run(["cmake", "--build", str(build), "--target", entry["target"]])
+        if built.returncode != 0:
+            return "build failed:\n" + built.stdout[-2000:]
+        binary = build / "tests" / entry["target"]
+        tested = run([str(binary), "--gtest_filter=" + entry["filter"]], timeout=300)
+        if "[==========] 0 tests" in tested.stdout:
+            return "the filter selects no test"
+        if tested.returncode == 0:
+            return "the test passes without the mechanism"
+        failed = sorted({line.split("]")[1].split(",")[0].split(" (")[0].strip()
+                         for line in tested.stdout.splitlines() if line.startswith("[  FAILED  ]")
+                         and "tests" not in line})
+        print("  fails as expected: " + ", ".join(failed[:4] or ["crash"]))
+        return None
+    finally:
+        path.write_text(original)
+
+
+def main():
+    entries = []
+    for path in sorted((ROOT / "tests" / "mutations").glob("*.json")):
+        entries += json.loads(path.read_text())
+    names = sys.argv[1:]
+    tree = copy_sources()
+    configured = run(["cmake", "-S", str(tree), "-B", str(WORK / "build"), "-G", "Ninja",
+                      "-DCMAKE_BUILD_TYPE=Debug"])
+    if configured.returncode != 0:
+        sys.exit(configured.stderr)
+    bad = 0
+    chosen = [entry for entry in entries if not names or entry["name"] in names]
+    for number, entry in enumerate(chosen, 1):
+        print("[%d/%d] %s: %s" % (number, len(chosen), entry["name"], entry["disables"]), flush=True)
+        problem = check(tree, entry)
+        if problem:
+            bad += 1
+            print("  PROBLEM: " + problem, flush=True)
+    print("%d mechanisms checked, %d problems" % (len(chosen), bad))
+    sys.exit(1 if bad or not chosen else 0)
+
+
+if __name__ == "__main__":
+    main()
