--- /dev/null
+++ b/include/jackdawvane/backend_call.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "jackdawvane/backend.hpp"
+#include "jackdawvane/id_sequence.hpp"
+#include "jackdawvane/ports.hpp"
+#include "jackdawvane/time.hpp"
+
+#include <string>
+
+namespace jackdawvane {
+
+/// @brief Ids that all parts of a node share.
+struct node_ids {
+    id_sequence<connection_id>& connections;
+    id_sequence<request_id>& requests;
+};
+
+/// @brief One request at a time on a connection of its own, each with a time limit.
+///
+/// A failed call has closed its connection. Answers that do not carry the id of the present
+/// request fail the call, because the state of the connection is in doubt.
+class backend_call {
+  public:
+    enum class progress { idle, running, answered, failed };
+
+    backend_call(backend_server_id backend, jackdawvane::endpoint endpoint, node_ids ids);
+
+    /// @brief Sends @a request once the connection is open; opens it first where needed.
+    /// @param limit time for connecting and the answer together
+    void send(time_point now, backend_request request, duration limit, actions& out);
+
+    /// @brief Event on a connection.
+    /// @return whether the connection belongs to this call
+    bool on_connected(connection_id connection, actions& out);
+    bool on_disconnected(connection_id connection, const std::string& reason);
+    bool on_answer(connection_id connection, const backend_answer& answer, actions& out);
+
+    /// @brief Fails the call when its limit has passed.
+    void tick(time_point now, actions& out);
+    /// @brief Closes the connection; a running request fails.
+    void close(actions& out);
+
+    [[nodiscard]] progress state() const noexcept { return state_; }
+    [[nodiscard]] time_point next_deadline() const noexcept;
+    [[nodiscard]] const backend_server_id& backend() const noexcept { return backend_; }
+    /// @brief When the present request was given; its answer cannot be older.
+    [[nodiscard]] time_point asked_at() const noexcept { return asked_at_; }
+    /// @brief The answer; meaningful in the state `answered`.
+    [[nodiscard]] const backend_answer& answer() const noexcept { return answer_; }
+    /// @brief Why the call failed.
+    [[nodiscard]] const std::string& reason() const noexcept { return reason_; }
+
+  private:
+    enum class link { closed, opening, open };
+
+    [[nodiscard]] bool owns(connection_id connection) const noexcept;
+    void fail(std::string reason);
+
+    backend_server_id backend_;
+    jackdawvane::endpoint endpoint_;
+    node_ids ids_;
+    progress state_{progress::idle};
+    link link_{link::closed};
+    connection_id connection_;
+    backend_request request_;
+    backend_answer answer_;
+    time_point asked_at_;
+    time_point deadline_{no_deadline};
+    std::string reason_;
+};
+
+} // namespace jackdawvane
--- a/include/jackdawvane/group_view.hpp
+++ b/include/jackdawvane/group_view.hpp
@@ -14,6 +14,12 @@
 
 namespace jackdawvane {
 
+/// @brief Whether @a status is that of an acting primary.
+///
+/// A promoted primary writes an entry of its term at once. One that has accepted a later term
+/// since is not the primary any more, whatever role it reports.
+[[nodiscard]] bool acts_as_primary(const backend_status& status) noexcept;
+
 /// @brief What one VM knows about one database group.
 ///
 /// All times are on the clock of this VM. The time of a status is when its query was sent, or
@@ -40,6 +46,9 @@
     /// @return whether it was news
     bool learn_primary(term elected, const backend_server_id& primary);
 
+    /// @brief Takes in that a backend server has accepted the term @a accepted.
+    void learn_term(term accepted);
+
     /// @brief A writer waits until a majority has @a position; starts measuring the lag.
     void expect(time_point now, log_position position);
 
--- a/include/jackdawvane/peer.hpp
+++ b/include/jackdawvane/peer.hpp
@@ -53,12 +53,21 @@
     jackdawvane::term known_term; ///< Highest term with a known primary.
     backend_server_id primary;    ///< Primary of that term.
     log_position wanted;          ///< A writer of the sender waits for this position.
+    backend_server_id receiver;   ///< Backend server whose owner this copy is for.
+    duration sent_at{0};          ///< Sender's clock; the receiver hands it back unchanged.
+    duration echo_sent_at{0};     ///< `sent_at` of the receiver's last report; 0 for none.
+    duration echo_age{0};         ///< Time from the arrival of that report until this was sent.
 
     static constexpr auto fields() {
-        return std::tuple{
-            field("group", &group_report::group), field("report", &group_report::report),
-            field("known_term", &group_report::known_term),
-            field("primary", &group_report::primary), field("wanted", &group_report::wanted)};
+        return std::tuple{field("group", &group_report::group),
+                          field("report", &group_report::report),
+                          field("known_term", &group_report::known_term),
+                          field("primary", &group_report::primary),
+                          field("wanted", &group_report::wanted),
+                          field("receiver", &group_report::receiver),
+                          field("sent_at_us", &group_report::sent_at),
+                          field("echo_sent_at_us", &group_report::echo_sent_at),
+                          field("echo_age_us", &group_report::echo_age)};
     }
 };
 
--- a/src/core/group_view.cpp
+++ b/src/core/group_view.cpp
@@ -15,13 +15,6 @@
 /// A measured lag older than this says nothing about the next write.
 constexpr duration lag_memory = std::chrono::seconds{2};
 
-/// A promoted primary writes an entry of its term at once. One that has accepted a later term
-/// since is not the primary any more, whatever role it reports.
-bool acts_as_primary(const backend_status& status) noexcept {
-    return status.role == backend_role::primary && status.accepted_term != term{} &&
-           status.accepted_term == status.last_entry_term;
-}
-
 /// Orders the states of one backend server. Within the accepted term the log only grows, but a
 /// replica that starts to follow may first discard entries of earlier terms.
 auto progress(const backend_status& status) noexcept {
@@ -32,6 +25,11 @@
 
 } // namespace
 
+bool acts_as_primary(const backend_status& status) noexcept {
+    return status.role == backend_role::primary && status.accepted_term != term{} &&
+           status.accepted_term == status.last_entry_term;
+}
+
 group_view::group_view(group_id group) : group_{std::move(group)} {}
 
 void group_view::configure(const std::set<backend_server_id>& members) {
@@ -95,6 +93,10 @@
     return true;
 }
 
+void group_view::learn_term(term accepted) {
+    highest_term_ = std::max(highest_term_, accepted);
+}
+
 void group_view::expect(time_point now, log_position position) {
     if (!expectations_.empty() && expectations_.back().position >= position) {
         return;
