Add the HTTP server and client, the backend and store ports and the host

Cause: a host has to connect a node to callers, backend servers and the store. Change: http_server and http_client keep one read pending, so that a closed connection is noticed while a request is in hand or the connection is idle; backend_port_adapter, store_port_adapter and caller_api on top of them; action_dispatcher in the core and asio_host around it. Conclusion: the tests of the HTTP server pass on loopback; the ports have no contract tests yet.

--- /dev/null
+++ b/include/jackdawvane/action_dispatcher.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "jackdawvane/ports.hpp"
+
+namespace jackdawvane {
+
+/// @brief Where log lines and measurements go.
+class diagnostics_port {
+  public:
+    diagnostics_port() = default;
+    diagnostics_port(const diagnostics_port&) = delete;
+    diagnostics_port& operator=(const diagnostics_port&) = delete;
+    diagnostics_port(diagnostics_port&&) = delete;
+    diagnostics_port& operator=(diagnostics_port&&) = delete;
+    virtual ~diagnostics_port() = default;
+
+    virtual void log(const log_decision& line) = 0;
+    virtual void measure(const measurement& value) = 0;
+};
+
+/// @brief The ports of a host.
+struct port_set {
+    caller_port& callers;
+    backend_port& backends;
+    store_port& store;
+    peer_port& peers;
+    diagnostics_port& diagnostics;
+};
+
+/// @brief Hands the actions of a node to the ports of its host.
+class action_dispatcher {
+  public:
+    /// @param ports have to outlive the dispatcher
+    explicit action_dispatcher(port_set ports) noexcept : ports_{ports} {}
+
+    /// @brief Carries out @a batch in order.
+    void dispatch(const actions& batch);
+
+    /// @brief Whether a `stopped` action has been seen.
+    [[nodiscard]] bool stopped() const noexcept { return stopped_; }
+
+  private:
+    struct visitor;
+
+    port_set ports_;
+    bool stopped_{false};
+};
+
+} // namespace jackdawvane
--- /dev/null
+++ b/include/jackdawvane/adapters/event_sink.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "jackdawvane/ports.hpp"
+
+#include <functional>
+
+namespace jackdawvane {
+
+/// @brief Receives the events that an adapter produces, on the host's only thread.
+using event_sink = std::function<void(event&&)>;
+
+} // namespace jackdawvane
--- /dev/null
+++ b/include/jackdawvane/adapters/http_client.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "jackdawvane/adapters/http_message.hpp"
+#include "jackdawvane/error.hpp"
+#include "jackdawvane/time.hpp"
+#include "jackdawvane/types.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
+namespace jackdawvane {
+
+namespace detail {
+class http_client_connection;
+} // namespace detail
+
+/// @brief Settings of one client connection.
+struct http_client_settings {
+    endpoint remote;
+    std::string local_address; ///< Source IP number; empty lets the system choose.
+    duration connect_timeout{std::chrono::seconds{1}};
+    std::size_t body_limit{std::size_t{4} * 1024 *
+                           1024}; ///< Bytes; a larger answer closes the connection.
+};
+
+/// @brief One persistent HTTP/1.1 connection with one request at a time.
+///
+/// Every error closes the connection for good. Callbacks are never called from within the
+/// functions of this class, and none is called after `close` or destruction.
+class http_client {
+  public:
+    using connect_callback = std::function<void(result<void>)>;
+    using answer_callback = std::function<void(result<http_answer>)>;
+    using close_callback = std::function<void(const std::string& reason)>;
+
+    http_client(boost::asio::io_context& context, const http_client_settings& settings);
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+    http_client(http_client&&) = delete;
+    http_client& operator=(http_client&&) = delete;
+    ~http_client();
+
+    /// @brief Opens the connection; `connection_lost` or `deadline_exceeded` on failure.
+    void connect(connect_callback done);
+
+    /// @brief Sends a request and waits for its answer.
+    /// @param timeout closes the connection with `deadline_exceeded`; none waits without limit
+    /// @param done gets `connection_lost` when the connection closes before the whole answer
+    /// @pre connected and not `busy()`
+    void request(std::string_view method, const std::string& target, std::string body,
+                 std::optional<duration> timeout, answer_callback done);
+
+    /// @brief Has @a callback called when the open connection closes while no request waits.
+    void on_idle_close(close_callback callback);
+
+    /// @brief Whether a request waits for its answer.
+    [[nodiscard]] bool busy() const noexcept;
+    /// @brief Whether the connection is open.
+    [[nodiscard]] bool connected() const noexcept;
+
+    /// @brief Closes the connection at once.
+    void close();
+
+  private:
+    std::shared_ptr<detail::http_client_connection> connection_;
+};
+
+} // namespace jackdawvane
--- a/include/jackdawvane/node_interface.hpp
+++ b/include/jackdawvane/node_interface.hpp
@@ -15,6 +15,8 @@
     node_interface() = default;
     node_interface(const node_interface&) = delete;
     node_interface& operator=(const node_interface&) = delete;
+    node_interface(node_interface&&) = delete;
+    node_interface& operator=(node_interface&&) = delete;
     virtual ~node_interface() = default;
 
     /// @brief Takes one event.
--- a/include/jackdawvane/ports.hpp
+++ b/include/jackdawvane/ports.hpp
@@ -143,6 +143,8 @@
     caller_port() = default;
     caller_port(const caller_port&) = delete;
     caller_port& operator=(const caller_port&) = delete;
+    caller_port(caller_port&&) = delete;
+    caller_port& operator=(caller_port&&) = delete;
     virtual ~caller_port() = default;
 
     /// @brief Delivers @a answer to the caller that it names; ignored if that caller is gone.
@@ -158,6 +160,8 @@
     backend_port() = default;
     backend_port(const backend_port&) = delete;
     backend_port& operator=(const backend_port&) = delete;
+    backend_port(backend_port&&) = delete;
+    backend_port& operator=(backend_port&&) = delete;
     virtual ~backend_port() = default;
 
     virtual void open(const open_connection& request) = 0;
@@ -171,6 +175,8 @@
     store_port() = default;
     store_port(const store_port&) = delete;
     store_port& operator=(const store_port&) = delete;
+    store_port(store_port&&) = delete;
+    store_port& operator=(store_port&&) = delete;
     virtual ~store_port() = default;
 
     virtual void call(const store_request& request) = 0;
@@ -182,6 +188,8 @@
     peer_port() = default;
     peer_port(const peer_port&) = delete;
     peer_port& operator=(const peer_port&) = delete;
+    peer_port(peer_port&&) = delete;
+    peer_port& operator=(peer_port&&) = delete;
     virtual ~peer_port() = default;
 
     virtual void send(const send_to_peer& request) = 0;
--- /dev/null
+++ b/src/adapters/asio_host.cpp
@@ -0,0 +1,90 @@
+#include "jackdawvane/adapters/asio_host.hpp"
+
+#include <algorithm>
+
+#include "asio_types.hpp"
+
+namespace jackdawvane {
+
+namespace {
+
+// The node detects a pause of its VM from the distance of two ticks.
+constexpr duration longest_tick_distance = std::chrono::milliseconds{100};
+// A deadline in the past must not keep the thread from serving its sockets.
+constexpr duration shortest_tick_distance = std::chrono::microseconds{100};
+
+} // namespace
+
+struct asio_host::timer {
+    explicit timer(boost::asio::io_context& context) : wait{context.get_executor()} {}
+    detail::steady_timer wait;
+};
+
+asio_host::asio_host(boost::asio::io_context& context, node_interface& node,
+                     std::function<void()> on_stopped)
+    : node_{node}, on_stopped_{std::move(on_stopped)}, timer_{std::make_unique<timer>(context)} {}
+
+asio_host::~asio_host() = default;
+
+time_point asio_host::now() {
+    return time_point{
+        std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch())};
+}
+
+void asio_host::start(port_set ports) {
+    dispatcher_ = std::make_unique<action_dispatcher>(ports);
+    deliver(timer_tick{});
+}
+
+event_sink asio_host::sink() {
+    return [this](event&& input) { deliver(std::move(input)); };
+}
+
+void asio_host::deliver(event&& input) {
+    if (handling_) {
+        pending_.push_back(std::move(input));
+        return;
+    }
+    handling_ = true;
+    handle_one(input);
+    handle_pending();
+    handling_ = false;
+    schedule_tick(now());
+    if (dispatcher_->stopped() && on_stopped_) {
+        std::exchange(on_stopped_, nullptr)();
+    }
+}
+
+void asio_host::handle_pending() {
+    while (!pending_.empty()) {
+        const auto input = std::move(pending_.front());
+        pending_.pop_front();
+        handle_one(input);
+    }
+}
+
+void asio_host::handle_one(const event& input) {
+    batch_.clear();
+    node_.handle(now(), input, batch_);
+    dispatcher_->dispatch(batch_);
+}
+
+// The timer stays as it is when it is due early enough: most events don't change the deadline.
+void asio_host::schedule_tick(time_point present) {
+    const auto due = std::clamp(node_.next_deadline(), present + shortest_tick_distance,
+                                present + longest_tick_distance);
+    if (due >= scheduled_) {
+        return;
+    }
+    scheduled_ = due;
+    timer_->wait.expires_after(due - present);
+    timer_->wait.async_wait([this](detail::error_code failure) {
+        if (failure) {
+            return;
+        }
+        scheduled_ = no_deadline;
+        deliver(timer_tick{});
+    });
+}
+
+} // namespace jackdawvane
--- /dev/null
+++ b/src/adapters/http_session.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "jackdawvane/adapters/http_server.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_set>
+
+#include "asio_types.hpp"
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace jackdawvane::detail {
+
+namespace http = boost::beast::http;
+
+struct http_server_state;
+
+/// @brief One connection of an HTTP server.
+class http_session : public std::enable_shared_from_this<http_session> {
+  public:
+    http_session(tcp_socket socket, std::shared_ptr<http_server_state> server);
+
+    void start();
+    void respond(std::uint64_t serial, http_response response);
+    void on_closed(std::uint64_t serial, std::function<void()> callback);
+
+    /// @brief Closes the connection; reports it when a request is in hand.
+    void close();
+    /// @brief Closes the connection without a report.
+    void discard();
+    /// @brief Closes the connection once no request is in hand.
+    void finish();
+    /// @brief Closes the connection when its phase has lasted too long.
+    void sweep(std::uint32_t now_s);
+
+  private:
+    enum class phase { idle, receiving, handling, writing, closed };
+
+    void enter(phase next);
+    void read();
+    void on_read(error_code failure, std::size_t size);
+    void advance();
+    void parse(error_code& failure);
+    void reset_parser();
+    void dispatch();
+    void reject(error_code failure);
+    void write(http_response response, bool keep_alive);
+    void on_written(error_code failure, bool keep_alive);
+
+    tcp_socket socket_;
+    std::shared_ptr<http_server_state> server_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    http::response<http::string_body> response_;
+    std::function<void()> closed_callback_;
+    std::uint64_t serial_{0};
+    std::uint32_t phase_since_s_{0};
+    phase phase_{phase::idle};
+    bool reading_{false};
+    bool finishing_{false};
+};
+
+/// @brief State that the sessions of a server share.
+struct http_server_state : std::enable_shared_from_this<http_server_state> {
+    http_server_state(asio::io_context& context, const http_server_settings& limits,
+                      http_server::handler handler);
+
+    void accept();
+    void sweep();
+    void remove(const std::shared_ptr<http_session>& session);
+    void report_stopped();
+
+    http_server_settings settings;
+    http_server::handler on_request;
+    tcp_acceptor acceptor;
+    steady_timer sweep_timer;
+    std::unordered_set<std::shared_ptr<http_session>> sessions;
+    std::function<void()> stopped;
+    std::uint32_t now_s{0};
+    bool stopping{false};
+};
+
+} // namespace jackdawvane::detail
