--- a/src/adapters/http_session.cpp
+++ b/src/adapters/http_session.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 
-constexpr std::size_t read_size = 16384; // bytes
+// Thousands of idle connections must fit into memory, while a body needs few reads.
+constexpr std::size_t idle_read_size = 2048;  // bytes
+constexpr std::size_t body_read_size = 32768; // bytes
 constexpr std::uint32_t write_timeout_s = 10;
 
 std::string_view find_header(const void* message, std::string_view name) {
@@ -64,10 +66,11 @@
         return;
     }
     reading_ = true;
-    socket_.async_read_some(buffer_.prepare(read_size),
-                            [self = shared_from_this()](error_code failure, std::size_t size) {
+    const auto size = phase_ == phase::receiving ? body_read_size : idle_read_size;
+    socket_.async_read_some(buffer_.prepare(size),
+                            [self = shared_from_this()](error_code failure, std::size_t received) {
                                 self->reading_ = false;
-                                self->on_read(failure, size);
+                                self->on_read(failure, received);
                             });
 }
 
@@ -173,6 +176,9 @@
     }
     reset_parser();
     enter(phase::idle);
+    if (buffer_.size() == 0 && !reading_ && buffer_.capacity() > idle_read_size) {
+        buffer_.shrink_to_fit();
+    }
     advance();
 }
 
--- /dev/null
+++ b/src/adapters/peer_traffic.cpp
@@ -0,0 +1,82 @@
+#include "jackdawvane/adapters/peer_traffic.hpp"
+
+namespace jackdawvane {
+
+namespace {
+
+const std::string unknown_region{"unknown"};
+
+const char* text_of(peer_channel channel) noexcept {
+    return channel == peer_channel::stream ? "tcp " : "udp ";
+}
+
+void count_bytes(diagnostics_port& out, const char* name, const char* label, std::string value,
+                 std::uint64_t amount) {
+    out.measure({metric_kind::counter, name, label, std::move(value), static_cast<double>(amount)});
+}
+
+} // namespace
+
+void peer_traffic::learn(const peer_message& message) {
+    const auto* const probe = std::get_if<membership_probe>(&message);
+    if (probe == nullptr) {
+        return;
+    }
+    for (const auto& update : probe->updates) {
+        if (!update.entry.place.region.empty()) {
+            regions_[update.entry.vm] = update.entry.place.region;
+        }
+    }
+}
+
+void peer_traffic::add(direction way, peer_channel channel, const char* method, const vm_id& vm,
+                       std::size_t bytes) {
+    by_method_[{way, channel, method}].total += bytes;
+    by_region_[{way, channel, region_of(vm)}].total += bytes;
+}
+
+const std::string& peer_traffic::region_of(const vm_id& vm) const {
+    const auto found = regions_.find(vm);
+    return found == regions_.end() ? unknown_region : found->second.str();
+}
+
+std::uint64_t peer_traffic::drops(peer_drop reason) const {
+    const auto found = drops_.find(reason);
+    return found == drops_.end() ? 0 : found->second;
+}
+
+std::uint64_t peer_traffic::bytes(direction way, peer_channel channel,
+                                  const region_id& region) const {
+    const auto found = by_region_.find({way, channel, region.str()});
+    return found == by_region_.end() ? 0 : found->second.total;
+}
+
+std::string peer_traffic::path_label(const key& counted) const {
+    const bool sent = counted.way == direction::sent;
+    const auto& from = sent ? own_.str() : counted.name;
+    const auto& to = sent ? counted.name : own_.str();
+    return text_of(counted.channel) + from + " to " + to;
+}
+
+void peer_traffic::report(diagnostics_port& out) {
+    for (auto& [counted, bytes] : by_method_) {
+        const auto* const name =
+            counted.way == direction::sent ? "peer_sent_bytes_total" : "peer_received_bytes_total";
+        const auto added = bytes.total - std::exchange(bytes.reported, bytes.total);
+        count_bytes(out, name, "method", text_of(counted.channel) + counted.name, added);
+    }
+    for (auto& [counted, bytes] : by_region_) {
+        const auto* const name = counted.way == direction::sent
+                                     ? "peer_region_sent_bytes_total"
+                                     : "peer_region_received_bytes_total";
+        const auto added = bytes.total - std::exchange(bytes.reported, bytes.total);
+        count_bytes(out, name, "path", path_label(counted), added);
+    }
+    for (const auto& [reason, total] : drops_) {
+        const auto added = total - std::exchange(reported_drops_[reason], total);
+        const auto* const text = reason == peer_drop::wrong_mac ? "wrong_mac" : "malformed";
+        count_bytes(out, "peer_messages_dropped_total", "reason", text, added);
+    }
+}
+
+} // namespace jackdawvane
