Add the backend server stand-in

Cause: tests of failover, fencing and connection use need backend servers with asynchronous replication that can be frozen, silenced and inspected. Ruled out: waiting for the daemon's HTTP adapter (not there yet), and a log that is rolled back with undo records (rebuilding the state from the log is simpler and a truncation is rare). Conclusion: the stand-in follows backend.hpp; a primary that was deposed drops its tail and a repeated name returns the first answer.

--- /dev/null
+++ b/src/standins/common/program.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "jackdawvane/json_codec.hpp"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+
+#include "standins/common/asio.hpp"
+
+namespace jackdawvane::standin {
+
+/// @brief Version that all stand-in programs print.
+inline constexpr const char* version_text = "jackdawvane 0.1.0";
+
+/// @brief Parses @a text (JSON with comments) as @a Settings.
+/// @throws std::runtime_error that names the wrong key
+template <class Settings>
+[[nodiscard]] Settings parse_settings(const std::string& text) {
+    const auto json = parse_json(text);
+    if (!json) {
+        throw std::runtime_error{json.error().message()};
+    }
+    auto settings = from_json<Settings>(json.value());
+    if (!settings) {
+        throw std::runtime_error{settings.error().message()};
+    }
+    return std::move(settings).value();
+}
+
+/// @brief Reads @a Settings from the file @a path.
+/// @throws std::runtime_error when it cannot be read or a key is wrong
+template <class Settings>
+[[nodiscard]] Settings read_settings(const std::string& path) {
+    std::ifstream file{path};
+    if (!file) {
+        throw std::runtime_error{"cannot read settings file " + path};
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parse_settings<Settings>(text.str());
+}
+
+/// @brief Runs @a io until SIGINT or SIGTERM.
+inline void run_until_signal(asio::io_context& io) {
+    asio::signal_set signals{io, SIGINT, SIGTERM};
+    signals.async_wait([&io](const error_code&, int) { io.stop(); });
+    io.run();
+}
+
+/// @brief Runs @a body and turns an exception into an exit status with a message.
+template <class Body>
+int guarded_main(const char* name, Body&& body) {
+    try {
+        return body();
+    } catch (const std::exception& failure) {
+        std::cerr << name << ": " << failure.what() << '\n';
+        return 1;
+    }
+}
+
+} // namespace jackdawvane::standin
--- /dev/null
+++ b/src/standins/jackdawvane-backend/state_machine.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "jackdawvane/error.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "standins/jackdawvane-backend/replicated_log.hpp"
+
+namespace jackdawvane::standin {
+
+/// @brief Reads and changes of one transaction that has not committed yet.
+struct transaction_view {
+    std::map<std::string, Json::Value> changed; ///< Null marks a deleted key.
+    /// Position of the last change of every key that the transaction touched.
+    std::map<std::string, log_position> seen;
+};
+
+/// @brief First answer that belongs to a request name.
+struct named_result {
+    std::string fingerprint;
+    log_position written;
+};
+
+/// @brief Key-value map and request table: the state that the log entries produce.
+class state_machine {
+  public:
+    /// @brief Runs @a statements on top of @a view.
+    ///
+    /// Statements: `{"op": "get"|"put"|"add"|"delete", "key": str, "value": any}`. Each result
+    /// repeats the key and holds the value after the statement.
+    /// @return one result per statement, or `statement_failed`
+    [[nodiscard]] result<Json::Value> run(const Json::Value& statements, access_mode mode,
+                                          transaction_view& view) const;
+    /// @brief Whether a key that @a view touched has changed since.
+    [[nodiscard]] bool is_stale(const transaction_view& view) const;
+    /// @brief Applies the entry at @a position.
+    void apply(const log_entry& entry, log_position position);
+    /// @brief Starts again from the entries of @a log.
+    void rebuild(const replicated_log& log);
+    /// @brief Entry of the request table.
+    [[nodiscard]] const named_result* find(const request_name& name) const;
+
+  private:
+    struct versioned_value {
+        Json::Value value;
+        log_position changed;
+    };
+
+    [[nodiscard]] Json::Value load(const std::string& key, transaction_view& view) const;
+    [[nodiscard]] result<Json::Value> run_one(const Json::Value& statement, access_mode mode,
+                                              transaction_view& view) const;
+
+    std::map<std::string, versioned_value> values_;
+    std::map<request_name, named_result> names_;
+};
+
+} // namespace jackdawvane::standin
