Add the network relay stand-in

Cause: partitions, distances and silent connections have to be injected between processes on loopback without any system tool. Ruled out: dropping the bytes of a cut TCP connection (a stream with a gap is corrupt; bytes are held until the cut heals, as retransmission would deliver them) and one process per link (the bandwidth between regions is shared). Change: the program jackdawvane-link relays TCP and UDP endpoints with one-way delays by place, a FIFO pipe between regions, cuts, silenced connections and byte counters per pair of regions. The source address is kept.

--- /dev/null
+++ b/tests/adapters/link_server_test.cpp
@@ -0,0 +1,102 @@
+#include "standin_test.hpp"
+#include "standins/jackdawvane-link/link_server.hpp"
+#include <gtest/gtest.h>
+
+namespace jackdawvane::standin {
+namespace {
+
+/// @brief Answers with the request's body, so that a test sees order and completeness.
+class EchoBehindLink : public testing::Test {
+  protected:
+    EchoBehindLink() {
+        link_settings settings;
+        settings.control = any_port();
+        settings.places = {{"near", {"127.3.1.", "r", false}}, {"far", {"127.3.2.", "r", false}}};
+        settings.delays.domains = duration{1000};
+        settings.relays = {{{"127.3.2.9", 0}, echo_.local(), true, false},
+                           {{"127.3.2.9", 0}, datagrams_endpoint(), false, true}};
+        link_.emplace(io_, settings);
+        datagrams_.non_blocking(true);
+    }
+
+    endpoint datagrams_endpoint() { return {"127.0.0.1", datagrams_.local_endpoint().port()}; }
+    http_client client() { return {io_, link_->tcp_endpoints().front(), "127.3.1.1"}; }
+    void fault(const char* text) {
+        http_client control{io_, link_->control(), {}};
+        post(io_, control, "/fault", json_of(text));
+    }
+    Json::Value echo(http_client& client, int value, milliseconds timeout = answer_time) {
+        return post(io_, client, "/echo", Json::Value{value}, timeout);
+    }
+    /// @brief Sends one datagram through the relay and reads what has arrived in a while.
+    std::string send_datagram(const std::string& text) {
+        udp::socket sender{io_, {asio::ip::make_address("127.3.1.1"), 0}};
+        const auto relay = link_->udp_endpoints().front();
+        sender.send_to(asio::buffer(text), {asio::ip::make_address(relay.address), relay.port});
+        std::string received(100, '\0');
+        error_code failed;
+        for (auto left = silence_time; left.count() > 0; left -= milliseconds{5}) {
+            io_.run_for(milliseconds{5});
+            const auto size = datagrams_.receive(asio::buffer(received), 0, failed);
+            if (!failed) {
+                return received.substr(0, size);
+            }
+        }
+        return {};
+    }
+
+    asio::io_context io_{1};
+    http_server echo_{
+        io_, any_port(),
+        [](http_server::connection_ptr, const http_request& request) -> awaitable<http_reply> {
+            co_return http_reply{200, request.body, {}};
+        }};
+    udp::socket datagrams_{io_, {asio::ip::make_address("127.0.0.1"), 0}};
+    std::optional<link_server> link_;
+};
+
+/// Guards against bytes that the relay loses, repeats or puts out of order.
+TEST_F(EchoBehindLink, KeepsOrderAndContent) {
+    auto connection = client();
+    const Json::Value large{std::string(1'000'000, 'x') + "end"};
+    EXPECT_EQ(post(io_, connection, "/echo", large), large);
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(echo(connection, i).asInt(), i);
+    }
+}
+
+/// Guards against a cut that lets bytes through and against one that never heals.
+TEST_F(EchoBehindLink, CutHoldsUntilHealed) {
+    auto before = client();
+    echo(before, 1);
+    fault(R"({"cut":[["near","far"]]})");
+    EXPECT_TRUE(echo(before, 2, silence_time).isNull());
+    auto during = client();
+    EXPECT_TRUE(echo(during, 3, silence_time).isNull());
+    EXPECT_EQ(send_datagram("lost"), "");
+    fault(R"({"heal_all":true})");
+    auto after = client();
+    EXPECT_EQ(echo(after, 4).asInt(), 4);
+}
+
+/// Guards against a silenced connection that recovers, or that takes new ones with it.
+TEST_F(EchoBehindLink, SilenceIsForGood) {
+    auto before = client();
+    echo(before, 1);
+    fault(R"({"silence":[["near","far"]]})");
+    EXPECT_TRUE(echo(before, 2, silence_time).isNull());
+    auto after = client();
+    EXPECT_EQ(echo(after, 3).asInt(), 3);
+}
+
+/// Guards against datagrams that are dropped without a cut.
+TEST_F(EchoBehindLink, DatagramsArrive) {
+    std::string received;
+    while (received.empty()) {
+        received = send_datagram("probe");
+    }
+    EXPECT_EQ(received, "probe");
+}
+
+} // namespace
+} // namespace jackdawvane::standin
