--- /dev/null
+++ b/include/jackdawvane/adapters/metrics_registry.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "jackdawvane/ports.hpp"
+
+#include <memory>
+#include <string>
+
+namespace jackdawvane {
+
+/// @brief Combines measurements and writes them in the Prometheus text format.
+class metrics_registry {
+  public:
+    metrics_registry();
+    metrics_registry(const metrics_registry&) = delete;
+    metrics_registry& operator=(const metrics_registry&) = delete;
+    metrics_registry(metrics_registry&&) = delete;
+    metrics_registry& operator=(metrics_registry&&) = delete;
+    ~metrics_registry();
+
+    /// @brief Adds one observation. Each name keeps the kind of its first observation.
+    /// @complexity logarithmic in the number of label values
+    void record(const measurement& value);
+
+    /// @brief All metrics, with the process's CPU time and memory, in the text format.
+    [[nodiscard]] std::string text() const;
+
+  private:
+    struct family;
+    struct families;
+    std::unique_ptr<families> families_;
+};
+
+} // namespace jackdawvane
--- /dev/null
+++ b/src/adapters/decision_logger.cpp
@@ -0,0 +1,73 @@
+#include "jackdawvane/adapters/decision_logger.hpp"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+
+namespace jackdawvane {
+
+namespace {
+
+constexpr long file_size_limit = 10L * 1024 * 1024; // bytes
+constexpr int kept_files = 3;
+constexpr auto line_pattern = "%D{%Y-%m-%dT%H:%M:%S.%q} %p %m%n";
+
+log4cplus::LogLevel to_log4cplus(log_level level) noexcept {
+    switch (level) {
+    case log_level::debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case log_level::info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case log_level::warning:
+        return log4cplus::WARN_LOG_LEVEL;
+    case log_level::error:
+        break;
+    }
+    return log4cplus::ERROR_LOG_LEVEL;
+}
+
+log4cplus::SharedAppenderPtr make_appender(const log_settings& settings) {
+    log4cplus::SharedAppenderPtr appender;
+    if (settings.file.empty()) {
+        appender = new log4cplus::ConsoleAppender{true, true};
+    } else {
+        appender = new log4cplus::RollingFileAppender{settings.file, file_size_limit, kept_files};
+    }
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(line_pattern));
+    return appender;
+}
+
+} // namespace
+
+struct decision_logger::backend {
+    log4cplus::Initializer initializer;
+    log4cplus::Logger logger{log4cplus::Logger::getInstance("jackdawvane")};
+};
+
+decision_logger::decision_logger(const log_settings& settings)
+    : backend_{std::make_unique<backend>()} {
+    backend_->logger.setAdditivity(false);
+    backend_->logger.setLogLevel(to_log4cplus(settings.level));
+    backend_->logger.removeAllAppenders();
+    backend_->logger.addAppender(make_appender(settings));
+}
+
+decision_logger::~decision_logger() {
+    backend_->logger.removeAllAppenders();
+}
+
+void decision_logger::write(const log_decision& line) {
+    const auto level = to_log4cplus(line.level);
+    if (!backend_->logger.isEnabledFor(level)) {
+        return;
+    }
+    std::string text{"["};
+    text += line.part;
+    text += "] ";
+    text += line.text;
+    backend_->logger.forcedLog(level, text);
+}
+
+} // namespace jackdawvane
