Add rate shares, their ledger and the fleet-wide rate limiter

Cause: an organisation's rate and burst are counted over all VMs, and a VM must admit requests without asking anyone while it has tokens.

Ruled out: separate rate and burst parts per holder. They always move together, so one part in millionths keeps their sum exact. Ruled out as well: reading the record after a pause. The write of a reclaimer that found the lease expired could follow that read, so a paused holder renews its lease and writes the record unchanged before it uses its part.

--- /dev/null
+++ b/include/jackdawvane/share_ledger.hpp
@@ -0,0 +1,203 @@
+#pragma once
+
+#include "jackdawvane/id_sequence.hpp"
+#include "jackdawvane/ports.hpp"
+#include "jackdawvane/random.hpp"
+#include "jackdawvane/share_record.hpp"
+#include "jackdawvane/store.hpp"
+#include "jackdawvane/time.hpp"
+#include "jackdawvane/types.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jackdawvane {
+
+/// @brief Times of the share ledger.
+struct share_settings {
+    duration refresh{std::chrono::seconds{90}};           ///< Mean time between record reads.
+    duration join_spread{std::chrono::milliseconds{300}}; ///< Spreads joins to avoid conflicts.
+    duration takeover_step{std::chrono::seconds{2}};      ///< Wait per rank for shared work.
+    /// From the last use of a part until it may be another's: tokens in transit settle first.
+    duration settle{std::chrono::milliseconds{500}};
+    duration shortest_retry{std::chrono::milliseconds{500}};
+    duration longest_retry{std::chrono::seconds{15}};
+
+    static constexpr auto fields() {
+        return std::tuple{field("refresh_us", &share_settings::refresh),
+                          field("join_spread_us", &share_settings::join_spread),
+                          field("takeover_step_us", &share_settings::takeover_step),
+                          field("settle_us", &share_settings::settle),
+                          field("shortest_retry_us", &share_settings::shortest_retry),
+                          field("longest_retry_us", &share_settings::longest_retry)};
+    }
+};
+
+/// @brief What the ledgers of all organisations at one VM have in common.
+struct share_context {
+    vm_id self;
+    vm_incarnation incarnation;
+    share_settings settings;
+    id_sequence<request_id>& ids;
+    random_engine& random;
+    std::map<vm_id, vm_entry> live; ///< VMs that are believed to be alive.
+    std::set<vm_id> gone;           ///< Listed once, no longer listed, and heard by no peer.
+    bool lease_renewed{false};      ///< Since the last pause past the lease.
+};
+
+/// @brief This VM's view of one organisation's share record, and its changes to it.
+///
+/// Why the used parts never exceed the whole: the record's parts sum to at most the whole. A
+/// holder uses at most the part in the last record that it has seen, and at most its part in each
+/// change of its own whose answer is outstanding or lost. Other VMs only raise a holder's part, or
+/// remove a holder that is gone. So each holder uses at most its part in the present record.
+///
+/// Why a reclaimed part is not used: a reclaimer finds the lease expired after it has seen version
+/// v of the record, and writes on version v only. A holder that was paused past its lease renews
+/// the lease, then writes the record unchanged, and only then uses its part. If that write comes
+/// first, the reclaimer's fails and its next look at the lease finds it renewed. Reading alone
+/// would not do: the reclaimer's write could follow the holder's read.
+///
+/// Why the used rates never exceed the rate: a holder uses its part of the record's rate, or of
+/// the configuration's if that is newer and lower. Both are rates of a revision that is at least
+/// as new as the newest that this VM has seen. As the parts sum to at most the whole, the sum is
+/// at most the highest rate among the revisions that some holder still takes for the newest. A
+/// raised rate waits for the record, so that one compare-and-swap puts it in force.
+class share_ledger {
+  public:
+    /// @param context outlives this object
+    share_ledger(organisation_id organisation, share_context& context);
+
+    /// @brief Applies the organisation's row of the configuration revision @a newer.
+    void configure(time_point now, jackdawvane::revision newer, share_limits limits, actions& out);
+
+    /// @brief VMs that shall hold shares; the fleet in the context may have changed as well.
+    void set_targets(time_point now, std::vector<vm_id> targets, actions& out);
+
+    /// @brief Another VM says that the record has got @a version.
+    void on_notice(time_point now, std::uint64_t version, actions& out);
+
+    /// @return whether the answer belongs to a call of this ledger
+    bool on_store(time_point now, const store_answer& answer, actions& out);
+
+    /// @brief Moves @a part of the own share to @a receiver; lowers the own part at once.
+    /// @return whether the move was started
+    bool give(time_point now, const vm_id& receiver, std::uint32_t part, actions& out);
+
+    /// @brief The VM was paused past its lease: uses nothing until its entry is confirmed.
+    void paused(time_point now, actions& out);
+
+    /// @brief Gives the own part back.
+    void leave(time_point now, actions& out);
+
+    void tick(time_point now, actions& out);
+    [[nodiscard]] time_point next_deadline() const noexcept;
+
+    /// @brief Part that this VM may use while `verified`.
+    [[nodiscard]] std::uint32_t usable_part() const noexcept;
+    /// @brief Fleet-wide limits as this VM has to apply them now.
+    [[nodiscard]] share_limits limits() const noexcept;
+    /// @brief Rate and burst that this VM may use while `verified`.
+    [[nodiscard]] share_limits usable() const noexcept;
+
+    /// @brief Whether this VM is a holder in the last record that it has seen.
+    [[nodiscard]] bool holder() const noexcept;
+    /// @brief Whether the share may be used: confirmed since the last pause past the lease.
+    [[nodiscard]] bool verified() const noexcept { return verified_; }
+    /// @brief Whether this VM shall hold a share.
+    [[nodiscard]] bool target() const noexcept;
+    /// @brief Whether `leave` has finished.
+    [[nodiscard]] bool left() const noexcept;
+    [[nodiscard]] const share_record& record() const noexcept { return record_; }
+    [[nodiscard]] const std::vector<vm_id>& targets() const noexcept { return targets_; }
+
+  private:
+    enum class call_kind { none, read, swap, read_lease };
+    /// Change whose effect is not known: it may still turn the version `base` into the next.
+    struct proposal {
+        std::uint64_t base{0};
+        std::uint32_t own_part{0};
+        std::vector<vm_id> notify; ///< VMs that have to read the record if it took effect.
+    };
+    struct transfer {
+        vm_id receiver;
+        std::uint32_t part{0};
+        int attempts{0};
+    };
+
+    void advance(time_point now, actions& out);
+    void start_read(actions& out);
+    void start_swap(const share_record& next, actions& out);
+    void start_lease_read(const share_holder& subject, actions& out);
+    void call(call_kind kind, store_request request, actions& out);
+
+    void finish_read(time_point now, const store_answer& answer, actions& out);
+    void finish_swap(time_point now, const store_answer& answer, actions& out);
+    void finish_lease_read(time_point now, const store_answer& answer, actions& out);
+    void observe(time_point now, share_record record, std::uint64_t version, actions& out);
+    void observe_text(time_point now, const store_answer& answer, actions& out);
+    void resolve_proposals(actions& out);
+    void retry_later(time_point now);
+    void abandon_call();
+    void drop_outdated(time_point now);
+
+    [[nodiscard]] std::optional<share_record> desired(time_point now) const;
+    [[nodiscard]] bool place_self(time_point now, share_record& next) const;
+    [[nodiscard]] bool remove_reclaimed(share_record& next) const;
+    [[nodiscard]] bool apply_transfer(share_record& next) const;
+    [[nodiscard]] bool limits_outdated() const noexcept;
+    [[nodiscard]] bool all_targets_joined(const share_record& record) const;
+    [[nodiscard]] bool superseded() const noexcept;
+    [[nodiscard]] bool wanted(time_point now) const noexcept;
+    [[nodiscard]] bool waits_to_join() const noexcept;
+    [[nodiscard]] bool distribution_due(time_point now, const share_record& next) const;
+    [[nodiscard]] const share_holder* own_entry() const noexcept;
+    [[nodiscard]] const share_holder* lease_to_check() const;
+    [[nodiscard]] std::vector<vm_id> affected_by(const share_record& next) const;
+    [[nodiscard]] duration takeover_delay();
+    [[nodiscard]] duration random_part(duration longest);
+    void schedule_shared_work(time_point now);
+    void notify(const std::vector<vm_id>& vms, actions& out) const;
+    void report(actions& out, std::string text, log_level level = log_level::info) const;
+
+    organisation_id organisation_;
+    share_context& context_;
+
+    revision configured_revision_;
+    share_limits configured_;
+    std::vector<vm_id> targets_;
+    bool leaving_{false};
+
+    share_record record_;
+    share_record proposed_;      ///< Record of the swap in flight.
+    std::uint64_t version_{0};   ///< Version of `record_`.
+    std::uint64_t noticed_{0};   ///< Highest version that another VM reported.
+    bool read_needed_{true};     ///< The present record is not known.
+    bool verified_{false};       ///< The own part may be used.
+    bool confirm_needed_{false}; ///< The own entry has to be written again before it is used.
+    std::vector<proposal> unresolved_;
+    std::optional<transfer> transfer_;
+    std::vector<share_holder> expired_; ///< Gone holders whose lease was found expired.
+
+    call_kind call_kind_{call_kind::none};
+    request_id call_id_;
+    share_holder lease_subject_;     ///< Holder whose lease the call in flight reads.
+    std::set<request_id> abandoned_; ///< Calls whose answers do not count any more.
+
+    time_point retry_at_{};
+    duration retry_delay_{0};
+    time_point refresh_at_{no_deadline};
+    time_point join_at_{};
+    time_point drained_at_{no_deadline}; ///< When the unwanted own part may be given back.
+    time_point untargeted_since_{no_deadline};
+    time_point incomplete_since_{no_deadline}; ///< Since when a target has not joined.
+    time_point shared_work_at_{no_deadline};   ///< Rewriting limits, distribution.
+    time_point lease_check_at_{no_deadline};
+};
+
+} // namespace jackdawvane
--- /dev/null
+++ b/include/jackdawvane/share_record.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "jackdawvane/json_codec.hpp"
+#include "jackdawvane/types.hpp"
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace jackdawvane {
+
+/// @brief All of an organisation's rate and burst, in the unit of `share_holder::part`.
+///
+/// Parts are whole numbers so that their sum is exact after any number of moves.
+inline constexpr std::uint32_t whole_share = 1'000'000;
+
+/// @brief VM incarnation that holds a part of an organisation's rate and burst.
+struct share_holder {
+    vm_id vm;
+    vm_incarnation incarnation;
+    std::uint32_t part{0}; ///< Millionths of the rate, and of the burst, which moves with it.
+
+    static constexpr auto fields() {
+        return std::tuple{field("vm", &share_holder::vm),
+                          field("incarnation", &share_holder::incarnation),
+                          field("part", &share_holder::part)};
+    }
+    friend bool operator==(const share_holder&, const share_holder&) = default;
+};
+
+/// @brief Rate and burst of an organisation over the whole fleet.
+struct share_limits {
+    double rate{0};  ///< Requests per second.
+    double burst{0}; ///< Tokens.
+
+    friend bool operator==(const share_limits&, const share_limits&) = default;
+};
+
+/// @brief Record under `shares/<organisation>` in the store.
+struct share_record {
+    jackdawvane::revision revision; ///< Configuration that `rate` and `burst` are from.
+    double rate{0};
+    double burst{0};
+    std::vector<share_holder> holders;
+
+    static constexpr auto fields() {
+        return std::tuple{field("revision", &share_record::revision),
+                          field("rate", &share_record::rate), field("burst", &share_record::burst),
+                          field("holders", &share_record::holders)};
+    }
+    friend bool operator==(const share_record&, const share_record&) = default;
+
+    [[nodiscard]] share_limits limits() const noexcept { return {rate, burst}; }
+    /// @brief Part that no holder has.
+    [[nodiscard]] std::uint32_t unassigned() const noexcept;
+    /// @brief Entry of @a vm, whatever its incarnation, or null.
+    [[nodiscard]] const share_holder* find(const vm_id& vm) const noexcept;
+    [[nodiscard]] share_holder* find(const vm_id& vm) noexcept;
+    /// @brief Removes the entry of @a vm; its part becomes unassigned.
+    void remove(const vm_id& vm);
+    /// @brief Divides the unassigned part equally among all holders.
+    void distribute();
+};
+
+/// @brief Store key of the share record of @a organisation.
+[[nodiscard]] std::string share_key(const organisation_id& organisation);
+
+/// @brief Store key of the lease of @a vm; the value is the incarnation in decimal digits.
+[[nodiscard]] std::string lease_key(const vm_id& vm);
+
+} // namespace jackdawvane
--- /dev/null
+++ b/src/core/share_ledger.cpp
@@ -0,0 +1,399 @@
+#include "jackdawvane/share_ledger.hpp"
+
+#include "jackdawvane/placement.hpp"
+
+#include <utility>
+
+#include <algorithm>
+#include <random>
+
+namespace jackdawvane {
+
+namespace {
+
+/// A smaller unassigned part is not worth a change that every holder has to read.
+constexpr std::uint32_t smallest_distribution = whole_share / 100;
+/// A part that waits for a VM that does not join is distributed after this time.
+constexpr duration join_patience = std::chrono::seconds{60};
+
+bool contains(const std::vector<vm_id>& vms, const vm_id& vm) {
+    return std::find(vms.begin(), vms.end(), vm) != vms.end();
+}
+
+} // namespace
+
+share_ledger::share_ledger(organisation_id organisation, share_context& context)
+    : organisation_{std::move(organisation)}, context_{context} {}
+
+void share_ledger::configure(time_point now, jackdawvane::revision newer, share_limits limits,
+                             actions& out) {
+    if (newer <= configured_revision_) {
+        return;
+    }
+    configured_revision_ = newer;
+    configured_ = limits;
+    leaving_ = false;
+    schedule_shared_work(now);
+    advance(now, out);
+}
+
+void share_ledger::set_targets(time_point now, std::vector<vm_id> targets, actions& out) {
+    const bool was_target = target();
+    targets_ = std::move(targets);
+    if (target() && !was_target) {
+        // An earlier incarnation may have tokens in transit.
+        join_at_ = now + context_.settings.settle + random_part(context_.settings.join_spread);
+        untargeted_since_ = no_deadline;
+    } else if (!target() && was_target) {
+        untargeted_since_ = now;
+    }
+    std::erase_if(expired_, [&](const share_holder& holder) {
+        return !context_.gone.contains(holder.vm); // It was listed again; old evidence is void.
+    });
+    schedule_shared_work(now);
+    advance(now, out);
+}
+
+void share_ledger::on_notice(time_point now, std::uint64_t version, actions& out) {
+    noticed_ = std::max(noticed_, version);
+    read_needed_ = read_needed_ || noticed_ > version_;
+    advance(now, out);
+}
+
+bool share_ledger::on_store(time_point now, const store_answer& answer, actions& out) {
+    if (abandoned_.erase(answer.id) > 0) {
+        return true;
+    }
+    if (call_kind_ == call_kind::none || answer.id != call_id_) {
+        return false;
+    }
+    switch (std::exchange(call_kind_, call_kind::none)) {
+    case call_kind::read:
+        finish_read(now, answer, out);
+        break;
+    case call_kind::swap:
+        finish_swap(now, answer, out);
+        break;
+    default:
+        finish_lease_read(now, answer, out);
+        break;
+    }
+    advance(now, out);
+    return true;
+}
+
+bool share_ledger::give(time_point now, const vm_id& receiver, std::uint32_t part, actions& out) {
+    const bool busy = call_kind_ != call_kind::none || read_needed_ || transfer_ || now < retry_at_;
+    if (busy || part == 0 || part > usable_part() || record_.find(receiver) == nullptr) {
+        return false;
+    }
+    transfer_ = transfer{receiver, part, 0};
+    report(out, "gives " + std::to_string(part) + " millionths to " + receiver.str());
+    advance(now, out);
+    return true;
+}
+
+void share_ledger::paused(time_point now, actions& out) {
+    abandon_call();
+    verified_ = false;
+    confirm_needed_ = true;
+    read_needed_ = true;
+    transfer_.reset();
+    expired_.clear();
+    advance(now, out);
+}
+
+void share_ledger::leave(time_point now, actions& out) {
+    leaving_ = true;
+    transfer_.reset();
+    advance(now, out);
+}
+
+void share_ledger::tick(time_point now, actions& out) {
+    advance(now, out);
+}
+
+time_point share_ledger::next_deadline() const noexcept {
+    if (call_kind_ != call_kind::none) {
+        return no_deadline;
+    }
+    if (!read_needed_ && confirm_needed_ && !context_.lease_renewed) {
+        return no_deadline; // The renewal's answer comes first.
+    }
+    if (read_needed_ || confirm_needed_ || !unresolved_.empty() || transfer_) {
+        return retry_at_;
+    }
+    auto due = std::min({shared_work_at_, lease_check_at_, drained_at_});
+    if (holder() || target()) {
+        due = std::min(due, refresh_at_);
+    }
+    if (waits_to_join()) {
+        due = std::min(due, join_at_);
+    }
+    if (drained_at_ == no_deadline && holder() && untargeted_since_ != no_deadline) {
+        due = std::min(due, untargeted_since_ + context_.settings.refresh);
+    }
+    return std::max(due, retry_at_);
+}
+
+std::uint32_t share_ledger::usable_part() const noexcept {
+    const auto* own = own_entry();
+    if (leaving_ || own == nullptr || drained_at_ != no_deadline) {
+        return 0;
+    }
+    auto part = own->part;
+    if (transfer_) {
+        part -= std::min(part, transfer_->part);
+    }
+    for (const auto& open : unresolved_) {
+        part = std::min(part, open.own_part);
+    }
+    return part;
+}
+
+share_limits share_ledger::limits() const noexcept {
+    auto limits = record_.limits();
+    if (configured_revision_ > record_.revision) {
+        limits.rate = std::min(limits.rate, configured_.rate);
+        limits.burst = std::min(limits.burst, configured_.burst);
+    }
+    return limits;
+}
+
+share_limits share_ledger::usable() const noexcept {
+    const double part = static_cast<double>(usable_part()) / whole_share;
+    const auto whole = limits();
+    return {whole.rate * part, whole.burst * part};
+}
+
+bool share_ledger::holder() const noexcept {
+    return own_entry() != nullptr;
+}
+
+bool share_ledger::target() const noexcept {
+    return contains(targets_, context_.self);
+}
+
+bool share_ledger::left() const noexcept {
+    return leaving_ && !holder() && !read_needed_ && unresolved_.empty() &&
+           call_kind_ == call_kind::none;
+}
+
+/// Starts the next store call if one is due. At most one is in flight.
+void share_ledger::advance(time_point now, actions& out) {
+    if (now >= refresh_at_ && (holder() || target())) {
+        read_needed_ = true;
+    }
+    drop_outdated(now);
+    if (call_kind_ != call_kind::none || now < retry_at_) {
+        return;
+    }
+    if (read_needed_) {
+        start_read(out);
+        return;
+    }
+    if (confirm_needed_ && !context_.lease_renewed) {
+        return;
+    }
+    const auto next = desired(now);
+    if (now >= shared_work_at_) {
+        shared_work_at_ = no_deadline;
+    }
+    if (next) {
+        start_swap(*next, out);
+        return;
+    }
+    if (!unresolved_.empty()) {
+        // The lost change could still take effect at this version; an equal record ends that.
+        start_swap(record_, out);
+        return;
+    }
+    if (now < lease_check_at_) {
+        return;
+    }
+    lease_check_at_ = no_deadline;
+    if (const auto* subject = lease_to_check()) {
+        start_lease_read(*subject, out);
+    }
+}
+
+/// Drops a transfer that cannot happen any more, and stops the use of a part that is not wanted.
+void share_ledger::drop_outdated(time_point now) {
+    const bool known = transfer_ && record_.find(transfer_->receiver) != nullptr;
+    if (transfer_ && (!known || own_entry() == nullptr || own_entry()->part < transfer_->part)) {
+        transfer_.reset();
+    }
+    const auto* entry = record_.find(context_.self);
+    const bool own = entry != nullptr && entry->incarnation <= context_.incarnation;
+    drained_at_ =
+        own && !wanted(now) ? std::min(drained_at_, now + context_.settings.settle) : no_deadline;
+}
+
+std::optional<share_record> share_ledger::desired(time_point now) const {
+    auto next = record_;
+    const bool removed = remove_reclaimed(next);
+    const bool placed = place_self(now, next);
+    const bool moved = apply_transfer(next);
+    bool changed = removed || placed || moved || confirm_needed_;
+    if (limits_outdated() && (changed || now >= shared_work_at_)) {
+        next.revision = configured_revision_;
+        next.rate = configured_.rate;
+        next.burst = configured_.burst;
+        changed = true;
+    }
+    if ((changed || now >= shared_work_at_) && distribution_due(now, next)) {
+        next.distribute();
+        changed = true;
+    }
+    return changed ? std::optional{std::move(next)} : std::nullopt;
+}
+
+bool share_ledger::wanted(time_point now) const noexcept {
+    if (leaving_ || superseded() || configured_revision_ == jackdawvane::revision{}) {
+        return false;
+    }
+    return target() || (untargeted_since_ != no_deadline &&
+                        now < untargeted_since_ + context_.settings.refresh);
+}
+
+bool share_ledger::waits_to_join() const noexcept {
+    return !holder() && target() && !leaving_ && !superseded() &&
+           configured_revision_ != jackdawvane::revision{};
+}
+
+bool share_ledger::place_self(time_point now, share_record& next) const {
+    auto* own = next.find(context_.self);
+    if (own != nullptr && own->incarnation > context_.incarnation) {
+        return false;
+    }
+    if (!wanted(now)) {
+        if (own == nullptr || now < drained_at_) {
+            return false;
+        }
+        next.remove(context_.self);
+        return true;
+    }
+    if (now < join_at_ && (own == nullptr || own->incarnation != context_.incarnation)) {
+        return false;
+    }
+    if (own != nullptr) {
+        // The entry of an earlier incarnation: that process has ended, its tokens are lost.
+        return std::exchange(own->incarnation, context_.incarnation) != context_.incarnation;
+    }
+    if (!target()) {
+        return false;
+    }
+    const auto equal_part = whole_share / static_cast<std::uint32_t>(targets_.size());
+    next.holders.push_back(
+        {context_.self, context_.incarnation, std::min(equal_part, next.unassigned())});
+    return true;
+}
+
+bool share_ledger::remove_reclaimed(share_record& next) const {
+    bool changed = false;
+    for (const auto& expired : expired_) {
+        const auto* entry = next.find(expired.vm);
+        if (entry != nullptr && entry->incarnation == expired.incarnation &&
+            context_.gone.contains(expired.vm)) {
+            next.remove(expired.vm);
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+bool share_ledger::apply_transfer(share_record& next) const {
+    if (!transfer_) {
+        return false;
+    }
+    auto* own = next.find(context_.self);
+    auto* receiver = next.find(transfer_->receiver);
+    if (own == nullptr || receiver == nullptr || own->part < transfer_->part) {
+        return false;
+    }
+    own->part -= transfer_->part;
+    receiver->part += transfer_->part;
+    return true;
+}
+
+bool share_ledger::distribution_due(time_point now, const share_record& next) const {
+    if (next.holders.empty() || next.unassigned() < smallest_distribution) {
+        return false;
+    }
+    return all_targets_joined(next) ||
+           (incomplete_since_ != no_deadline && now >= incomplete_since_ + join_patience);
+}
+
+bool share_ledger::limits_outdated() const noexcept {
+    return configured_revision_ > record_.revision && configured_ != record_.limits();
+}
+
+bool share_ledger::all_targets_joined(const share_record& record) const {
+    return std::all_of(targets_.begin(), targets_.end(),
+                       [&](const vm_id& vm) { return record.find(vm) != nullptr; });
+}
+
+bool share_ledger::superseded() const noexcept {
+    const auto* entry = record_.find(context_.self);
+    return entry != nullptr && entry->incarnation > context_.incarnation;
+}
+
+const share_holder* share_ledger::own_entry() const noexcept {
+    const auto* entry = record_.find(context_.self);
+    return entry != nullptr && entry->incarnation == context_.incarnation ? entry : nullptr;
+}
+
+const share_holder* share_ledger::lease_to_check() const {
+    for (const auto& holder : record_.holders) {
+        const bool known = std::find(expired_.begin(), expired_.end(), holder) != expired_.end();
+        if (holder.vm != context_.self && !known && context_.gone.contains(holder.vm)) {
+            return &holder;
+        }
+    }
+    return nullptr;
+}
+
+void share_ledger::schedule_shared_work(time_point now) {
+    if (!holder()) {
+        return;
+    }
+    const bool complete = all_targets_joined(record_);
+    incomplete_since_ = complete ? no_deadline : std::min(incomplete_since_, now);
+    if (limits_outdated() || (complete && distribution_due(now, record_))) {
+        shared_work_at_ = std::min(shared_work_at_, now + takeover_delay());
+    } else if (!complete && record_.unassigned() >= smallest_distribution) {
+        const auto end_of_patience = std::max(now, incomplete_since_ + join_patience);
+        shared_work_at_ = std::min(shared_work_at_, end_of_patience + takeover_delay());
+    }
+    if (lease_to_check() != nullptr && lease_check_at_ == no_deadline) {
+        lease_check_at_ = now + takeover_delay();
+    }
+}
+
+/// Work that one VM has to do falls to the first live holder by rendezvous rank; each next one
+/// waits longer, so that it normally finds the work done.
+duration share_ledger::takeover_delay() {
+    std::vector<vm_entry> candidates;
+    for (const auto& holder : record_.holders) {
+        const auto found = context_.live.find(holder.vm);
+        if (found != context_.live.end() && !context_.gone.contains(holder.vm)) {
+            candidates.push_back(found->second);
+        }
+    }
+    const auto ranked = rank_vms(organisation_.str(), candidates);
+    const auto own = std::find(ranked.begin(), ranked.end(), context_.self);
+    const auto step = context_.settings.takeover_step;
+    return (own - ranked.begin()) * step + random_part(step / 4);
+}
+
+duration share_ledger::random_part(duration longest) {
+    std::uniform_int_distribution<duration::rep> choose{
+        0, std::max<duration::rep>(0, longest.count())};
+    return duration{choose(context_.random)};
+}
+
+void share_ledger::report(actions& out, std::string text, log_level level) const {
+    log(out, "limits", level, "share " + organisation_.str() + ": " + std::move(text));
+}
+
+} // namespace jackdawvane
--- /dev/null
+++ b/tests/core/limiter_fleet.hpp
@@ -0,0 +1,295 @@
+#pragma once
+
+#include "jackdawvane/rate_limiter.hpp"
+
+#include <utility>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jackdawvane {
+
+/// Store with versions and leases, in virtual time.
+class fake_store {
+  public:
+    store_answer call(time_point now, const store_request& request) {
+        ++calls;
+        store_answer answer{request.id, store_status::ok, {}, 0, {}};
+        if (request.operation == store_operation::renew_lease) {
+            leases[request.key] = {request.value, now + request.lease};
+        } else if (request.operation == store_operation::release_lease) {
+            leases.erase(request.key);
+        } else if (request.key.starts_with("vms/")) {
+            const auto lease = leases.find(request.key);
+            const bool held = lease != leases.end() && lease->second.second > now;
+            answer.status = held ? store_status::ok : store_status::not_found;
+            answer.value = held ? lease->second.first : "";
+        } else {
+            access(request, answer);
+        }
+        return answer;
+    }
+
+    std::map<std::string, std::pair<std::string, std::uint64_t>> values;
+    std::map<std::string, std::pair<std::string, time_point>> leases;
+    bool down{false};
+    int calls{0};
+
+  private:
+    void access(const store_request& request, store_answer& answer) {
+        auto& [value, version] = values[request.key];
+        if (request.operation == store_operation::compare_and_swap) {
+            if (request.version == version) {
+                value = request.value;
+                ++version;
+            } else {
+                answer.status = store_status::conflict;
+            }
+        } else if (version == 0) {
+            answer.status = store_status::not_found;
+        }
+        answer.value = value;
+        answer.version = version;
+    }
+};
+
+/// Several rate limiters with messages and store calls between them, in virtual time. Tests
+/// decide what happens to each message and store call.
+class limiter_fleet {
+  public:
+    struct node {
+        vm_entry entry;
+        vm_incarnation incarnation;
+        random_engine random;
+        id_sequence<request_id> ids;
+        std::unique_ptr<rate_limiter> limiter;
+        revision known; ///< Newest configuration that it got.
+        bool frozen{false};
+        std::vector<std::function<void()>> backlog;
+        std::uint64_t generation{0}; ///< Of the scheduled tick.
+    };
+    struct fate {
+        std::vector<duration> deliveries; ///< One per copy; none for a lost message.
+    };
+    struct store_fate {
+        duration to{from_milliseconds(1)};
+        duration back{from_milliseconds(1)};
+        bool lost_request{false};
+        bool lost_answer{false};
+    };
+
+    explicit limiter_fleet(rate_limiter_settings chosen, std::uint64_t seed = 1)
+        : settings{chosen}, random{seed} {}
+
+    node& start(const std::string& vm, std::uint64_t incarnation, const std::string& domain) {
+        auto made = std::make_unique<node>();
+        made->entry = {vm_id{vm},
+                       {vm, 1},
+                       {vm, 2},
+                       {region_id{"r"}, failure_domain_id{domain}},
+                       vm_state::live};
+        made->incarnation = vm_incarnation{incarnation};
+        made->random.seed(random());
+        made->limiter =
+            std::make_unique<rate_limiter>(made->entry.vm, made->incarnation, made->entry.place,
+                                           settings, made->ids, made->random);
+        nodes.push_back(std::move(made));
+        return *nodes.back();
+    }
+
+    void kill(node& victim) {
+        std::erase_if(nodes, [&](const auto& each) { return each.get() == &victim; });
+    }
+
+    node* find(const vm_id& vm, std::uint64_t incarnation = 0) {
+        for (auto& each : nodes) {
+            if (each->entry.vm == vm &&
+                (incarnation == 0 || each->incarnation.value() == incarnation)) {
+                return each.get();
+            }
+        }
+        return nullptr;
+    }
+
+    void at(duration delay, std::function<void()> work) {
+        queue.emplace(now + delay, std::move(work));
+    }
+
+    /// Runs @a work on @a target, later if it is frozen, and carries its actions out.
+    void on(node& target, const std::function<void(actions&)>& work) {
+        if (target.frozen) {
+            const auto vm = target.entry.vm;
+            const auto incarnation = target.incarnation.value();
+            target.backlog.emplace_back([this, vm, incarnation, work] {
+                if (auto* same = find(vm, incarnation)) {
+                    on(*same, work);
+                }
+            });
+            return;
+        }
+        actions out;
+        work(out);
+        for (auto& decision : target.limiter->take_decisions()) {
+            decided(target, decision);
+        }
+        for (const auto& each : out) {
+            carry_out(target, each);
+        }
+        schedule(target);
+    }
+
+    void thaw(node& target) {
+        target.frozen = false;
+        on(target, [&](actions& out) { target.limiter->paused(now, out); });
+        for (const auto& work : std::exchange(target.backlog, {})) {
+            work();
+        }
+    }
+
+    void configure_all(std::uint64_t newer, double rate, double burst) {
+        for (auto& each : nodes) {
+            configure(*each, newer, rate, burst);
+        }
+    }
+    void configure(node& target, std::uint64_t newer, double rate, double burst) {
+        on(target, [this, &target, newer, rate, burst](actions& out) {
+            target.known = std::max(target.known, revision{newer});
+            target.limiter->configure(now, {{organisation, {rate, burst, 1}}}, revision{newer},
+                                      out);
+        });
+    }
+
+    /// Tells every VM which VMs live.
+    void announce_fleet(const std::set<vm_id>& gone = {}) {
+        std::vector<vm_entry> live;
+        for (const auto& each : nodes) {
+            if (!gone.contains(each->entry.vm)) {
+                live.push_back(each->entry);
+            }
+        }
+        for (auto& each : nodes) {
+            on(*each, [this, target = each.get(), live, gone](actions& out) {
+                target->limiter->set_fleet(now, live, gone, out);
+            });
+        }
+    }
+
+    admission_state request(node& target) {
+        auto state = admission_state::refused;
+        if (target.frozen) {
+            return state;
+        }
+        on(target, [&](actions& out) {
+            const auto verdict =
+                target.limiter->admit(now, organisation, request_id{++handles}, no_deadline, out);
+            state = verdict.state;
+            if (state != admission_state::pending) {
+                decided(target, verdict);
+            }
+        });
+        return state;
+    }
+
+    /// Runs the schedule for @a time; `checked` runs after every event.
+    void run(duration time) {
+        const auto end = now + time;
+        while (!queue.empty() && queue.begin()->first <= end) {
+            const auto next = queue.begin();
+            now = std::max(now, next->first);
+            const auto work = std::move(next->second);
+            queue.erase(next);
+            work();
+            checked();
+        }
+        now = end;
+    }
+
+    [[nodiscard]] const organisation_limiter& limiter(const node& each) const {
+        return *each.limiter->find(organisation);
+    }
+    [[nodiscard]] share_record record() const {
+        const auto found = store.values.find(share_key(organisation));
+        return found == store.values.end() || found->second.second == 0
+                   ? share_record{}
+                   : from_json<share_record>(parse_json(found->second.first).value()).value();
+    }
+
+    rate_limiter_settings settings;
+    random_engine random;
+    organisation_id organisation{"depot"};
+    time_point now{};
+    std::vector<std::unique_ptr<node>> nodes;
+    fake_store store;
+    std::multimap<time_point, std::function<void()>> queue;
+    std::uint64_t handles{0};
+    std::function<fate(const peer_message&)> message_fate = [](const peer_message&) {
+        return fate{{from_milliseconds(1)}};
+    };
+    std::function<store_fate(const store_request&)> call_fate = [](const store_request&) {
+        return store_fate{};
+    };
+    std::function<void(node&, const admission&)> decided = [](node&, const admission&) {};
+    std::function<void()> checked = [] {};
+
+  private:
+    void carry_out(node& from, const action& ordered) {
+        if (const auto* message = std::get_if<send_to_peer>(&ordered)) {
+            for (const auto delay : message_fate(message->message).deliveries) {
+                at(delay,
+                   [this, sender = from.entry.vm, sent = *message] { deliver(sender, sent); });
+            }
+        } else if (const auto* request = std::get_if<store_request>(&ordered)) {
+            call_store(from, *request);
+        }
+    }
+
+    void deliver(const vm_id& sender, const send_to_peer& sent) {
+        if (auto* target = find(sent.vm)) {
+            on(*target, [this, target, sender, sent](actions& out) {
+                target->limiter->on_peer(now, sender, sent.message, out);
+            });
+        }
+    }
+
+    void call_store(node& from, const store_request& request) {
+        const auto chosen = call_fate(request);
+        at(chosen.to,
+           [this, chosen, request, vm = from.entry.vm, incarnation = from.incarnation.value()] {
+               store_answer answer{request.id, store_status::unavailable, {}, 0, {}};
+               if (!store.down && !chosen.lost_request) {
+                   const auto real = store.call(now, request);
+                   answer = chosen.lost_answer ? answer : real;
+               }
+               at(chosen.back, [this, answer, vm, incarnation] {
+                   if (auto* target = find(vm, incarnation)) {
+                       on(*target, [this, target, answer](actions& out) {
+                           std::ignore = target->limiter->on_store(now, answer, out);
+                       });
+                   }
+               });
+           });
+    }
+
+    void schedule(node& target) {
+        const auto due = target.limiter->next_deadline();
+        const auto generation = ++target.generation;
+        if (due == no_deadline) {
+            return;
+        }
+        queue.emplace(
+            std::max(due, now + duration{1}),
+            [this, vm = target.entry.vm, incarnation = target.incarnation.value(), generation] {
+                auto* same = find(vm, incarnation);
+                if (same != nullptr && same->generation == generation) {
+                    on(*same, [this, same](actions& out) { same->limiter->tick(now, out); });
+                }
+            });
+    }
+};
+
+} // namespace jackdawvane
