Add a study that compares ways to enforce fleet-wide rates

Cause: the goal of less than 0.5% wrongful refusals needs a measurement, and the choice of escrow over its alternatives needs figures.

Ruled out: counting refusals of an organisation above its rate as wrongful.

Change: jackdawvane-limits runs escrow, static division, a central counter and expiring leases in virtual time over six seeded loads with faults.

--- /dev/null
+++ b/src/programs/jackdawvane-limits.cpp
@@ -0,0 +1,86 @@
+#include <cstdint>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "programs/jackdawvane-limits/study.hpp"
+#include <docopt/docopt.h>
+
+namespace {
+
+using namespace jackdawvane;
+
+constexpr const char* usage =
+    R"(Compares ways to enforce fleet-wide rates under the same seeded load, in virtual time.
+
+Usage:
+  jackdawvane-limits [--seed N] [--runs N] [--only NAME] [--json FILE]
+  jackdawvane-limits --help | --version
+
+Options:
+  --seed N     Seed of the first run [default: 1].
+  --runs N     Runs per scenario, with consecutive seeds [default: 3].
+  --only NAME  Only this mechanism, for example escrow.
+  --json FILE  Also write all runs as a JSON list.
+  --help       Show this text.
+  --version    Show the version.
+)";
+
+void print_heading(const limits::scenario& chosen) {
+    std::printf("\n%s\n%-17s %5s %10s %9s %8s %9s %8s %8s %8s %8s\n", chosen.name.c_str(),
+                "mechanism", "seed", "wrongful%", "overshoot", "worst", "overload", "waited%",
+                "store/s", "msg/s/VM", "B/s/VM");
+}
+
+void print(const limits::measurement& each) {
+    std::printf("%-17s %5llu %10.3f %9.2f %8.4f %9.4f %8.2f %8.1f %8.2f %8.0f\n",
+                each.mechanism.c_str(), static_cast<unsigned long long>(each.seed),
+                each.wrongful_percent, each.overshoot, each.worst_served, each.overloaded_served,
+                each.waited_percent, each.store_calls_per_second, each.messages_per_second,
+                each.bytes_per_second);
+}
+
+std::vector<limits::measurement> run_all(std::uint64_t seed, std::uint64_t runs,
+                                         const std::string& only) {
+    std::vector<limits::measurement> all;
+    for (const auto& chosen : limits::all_scenarios()) {
+        print_heading(chosen);
+        for (const auto& subject : limits::all_mechanisms()) {
+            for (std::uint64_t i = 0; i < runs && (only.empty() || only == subject.name); ++i) {
+                all.push_back(limits::run_study(chosen, subject, seed + i));
+                print(all.back());
+            }
+        }
+    }
+    return all;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    const auto arguments =
+        docopt::docopt(usage, {argv + 1, argv + argc}, true, "jackdawvane-limits 0.1.0");
+    std::uint64_t seed{0};
+    std::uint64_t runs{0};
+    try {
+        seed = std::stoull(arguments.at("--seed").asString());
+        runs = std::stoull(arguments.at("--runs").asString());
+    } catch (const std::exception&) {
+        std::cerr << "--seed and --runs must be whole numbers; see --help\n";
+        return 2;
+    }
+    const auto& only = arguments.at("--only");
+    const auto all = run_all(seed, runs, only ? only.asString() : "");
+    if (const auto& file = arguments.at("--json")) {
+        std::ofstream out{file.asString()};
+        out << write_json(to_json(all)) << '\n';
+        if (!out.flush()) {
+            std::cerr << "cannot write " << file.asString() << "; choose another file\n";
+            return 1;
+        }
+    }
+    return 0;
+}
