--- a/include/jackdawvane/backend_owner.hpp
+++ b/include/jackdawvane/backend_owner.hpp
@@ -87,7 +87,7 @@
 
   private:
     /// Interactive transaction with its pinned connection.
-    struct transaction {
+    struct pinned_transaction {
         organisation_id organisation;
         access_mode mode{access_mode::read};
         fencing_mode fencing{fencing_mode::majority};
@@ -164,7 +164,7 @@
     connection_pool pool_;
     fair_queue<owner_request> queue_;
     std::map<connection_id, running_request> running_;
-    std::map<transaction_id, transaction> transactions_;
+    std::map<transaction_id, pinned_transaction> transactions_;
     std::vector<waiting_write> waiting_writes_;
     std::vector<waiting_read> waiting_reads_;
     std::vector<owner_reply> replies_;
--- a/include/jackdawvane/request_executor.hpp
+++ b/include/jackdawvane/request_executor.hpp
@@ -5,6 +5,7 @@
 #include "jackdawvane/id_sequence.hpp"
 #include "jackdawvane/peer.hpp"
 #include "jackdawvane/ports.hpp"
+#include "jackdawvane/router.hpp"
 #include "jackdawvane/time.hpp"
 #include "jackdawvane/transaction_handle.hpp"
 #include "jackdawvane/types.hpp"
@@ -52,7 +53,8 @@
     [[nodiscard]] virtual std::vector<backend_server_id> plan(time_point now,
                                                               const routing_query& query) = 0;
     /// @brief Notes that a backend server could not serve, so that others are preferred.
-    virtual void avoid(time_point now, const backend_server_id& backend) = 0;
+    virtual void avoid(time_point now, const backend_server_id& backend,
+                       routing_trouble trouble) = 0;
     /// @brief Group of a pool that holds @a partition.
     [[nodiscard]] virtual group_id choose_group(const pool_row& pool,
                                                 const std::string& partition) const = 0;
--- a/src/core/request_executor.cpp
+++ b/src/core/request_executor.cpp
@@ -220,7 +220,10 @@
             std::string{to_string(problem.kind)});
     const auto& tried = r.targets[r.next_target - 1];
     if (r.request.mode == access_mode::read) {
-        services_.avoid(now, tried);
+        const bool behind = problem.kind == error_kind::replica_behind ||
+                            problem.kind == error_kind::staleness_unproved;
+        services_.avoid(now, tried,
+                        behind ? routing_trouble::behind : routing_trouble::unreachable);
     } else if (summary != nullptr && !summary->primary.empty() && summary->primary != tried) {
         plan(now, r);
     }
--- a/tests/core/backend_owner_test.cpp
+++ b/tests/core/backend_owner_test.cpp
@@ -18,6 +18,13 @@
     return request.operation == backend_operation::status;
 }
 
+backend_owner_settings owner_settings() {
+    backend_owner_settings settings;
+    settings.self = vm_id{"vm1"};
+    settings.incarnation = vm_incarnation{5};
+    return settings;
+}
+
 /// An owner with its monitor in front of one backend server, which is the whole group.
 class BackendOwner : public testing::Test {
   protected:
@@ -151,7 +158,7 @@
     group_monitor monitor_{
         {vm_id{"vm1"}, {}, group_id{"g"}, backend_}, {}, random_, {connections_, requests_}};
     backend_owner owner_{group_id{"g"}, backend_,  monitor_,
-                         connections_,  requests_, {vm_id{"vm1"}, vm_incarnation{5}}};
+                         connections_,  requests_, owner_settings()};
     std::map<std::uint64_t, forward_reply> replies_;
     std::uint64_t last_id_{0};
 };
--- a/tests/core/request_executor_test.cpp
+++ b/tests/core/request_executor_test.cpp
@@ -50,7 +50,8 @@
     std::vector<backend_server_id> plan(time_point /*now*/, const routing_query& query) override {
         return query.mode == access_mode::write ? write_plan : read_plan;
     }
-    void avoid(time_point /*now*/, const backend_server_id& /*backend*/) override {}
+    void avoid(time_point /*now*/, const backend_server_id& /*backend*/,
+               routing_trouble /*trouble*/) override {}
     [[nodiscard]] group_id choose_group(const pool_row& /*pool*/,
                                         const std::string& /*partition*/) const override {
         return group_id{"g"};
