Add SWIM membership joined with the platform's VM list

Cause: each VM needs the set of live VMs for placement, at a cost that does not grow with the fleet, from a protocol that works without the store.

Change: `member_table` orders contradicting news; `membership` probes one VM a second in round robin, asks two others after 200 ms, suspects after 500 ms and removes after a suspicion time that grows with the logarithm of the size. News rides on probes and on extra messages every 200 ms while there is any. The list is read once by each VM and held by two delegates per failure domain; its changes spread as news with the list version. Probes carry the age of the last store answer, so that a fleet with one failure domain can tell isolation from a quiet store at few calls. `member_update` gains `list_version` and `listed`, `membership_probe` gains `store_age`.

--- a/include/jackdawvane/peer.hpp
+++ b/include/jackdawvane/peer.hpp
@@ -163,12 +163,16 @@
     vm_incarnation incarnation;  ///< Life of the process.
     std::uint64_t refutation{0}; ///< Raised by a VM to refute a suspicion of itself.
     member_health health{member_health::alive};
+    std::uint64_t list_version{0}; ///< Version of the VM list that `listed` is from; 0 for none.
+    bool listed{false};            ///< On the platform's VM list, with the state of `entry`.
 
     static constexpr auto fields() {
         return std::tuple{field("entry", &member_update::entry),
                           field("incarnation", &member_update::incarnation),
                           field("refutation", &member_update::refutation),
-                          field("health", &member_update::health)};
+                          field("health", &member_update::health),
+                          field("list_version", &member_update::list_version),
+                          field("listed", &member_update::listed)};
     }
 };
 
@@ -190,6 +194,7 @@
     std::uint64_t sequence{0};
     vm_id target;                   ///< VM that is probed; differs from the receiver for requests.
     jackdawvane::revision revision; ///< Configuration revision of the sender.
+    std::optional<duration> store_age; ///< Time since the store was last known to answer.
     std::vector<member_update> updates;
 
     static constexpr auto fields() {
@@ -197,6 +202,7 @@
                           field("sequence", &membership_probe::sequence),
                           field("target", &membership_probe::target),
                           field("revision", &membership_probe::revision),
+                          field("store_age_us", &membership_probe::store_age),
                           field("updates", &membership_probe::updates)};
     }
 };
