--- a/include/jackdawvane/promotion.hpp
+++ b/include/jackdawvane/promotion.hpp
@@ -72,6 +72,8 @@
     [[nodiscard]] const backend_server_id& chosen() const noexcept { return chosen_; }
     /// @brief Primary that answered and makes the promotion needless; empty for none.
     [[nodiscard]] const backend_server_id& found_primary() const noexcept { return found_primary_; }
+    /// @brief Term in which that primary acts.
+    [[nodiscard]] term found_term() const noexcept { return found_term_; }
     /// @brief Highest term in any answer.
     [[nodiscard]] term highest_seen() const noexcept { return highest_seen_; }
 
--- a/src/core/group_monitor.cpp
+++ b/src/core/group_monitor.cpp
@@ -273,13 +273,14 @@
     }
     const auto ended = std::move(*promotion_);
     promotion_.reset();
+    last_proposed_ = std::max(last_proposed_, ended.proposal().proposed);
     view_.learn_term(ended.highest_seen());
     if (ended.state() == promotion::progress::won) {
         view_.learn_primary(ended.proposal().proposed, ended.chosen());
         return;
     }
     if (!ended.found_primary().empty()) {
-        view_.learn_primary(ended.highest_seen(), ended.found_primary());
+        view_.learn_primary(ended.found_term(), ended.found_primary());
     }
     std::uniform_int_distribution<duration::rep> wait{settings_.backoff_min.count(),
                                                       settings_.backoff_max.count()};
@@ -350,7 +351,7 @@
                           std::to_string(random_())};
     log(out, log_part, log_level::warning,
         "group " + watched_.group.str() + ": " + reason + "; promoting for term " +
-            text_of(last_proposed_));
+            text_of(last_proposed_) + " or later");
     promotion_.emplace(promotion_proposal{watched_.group, last_proposed_, candidate},
                        promotion_members(), ids_, settings_.promotion);
     promotion_->start(now, out);
--- a/src/core/group_monitor_election.cpp
+++ b/src/core/group_monitor_election.cpp
@@ -39,9 +39,12 @@
     if (told_lost_since_) {
         return {*told_lost_since_ + rank_wait(), true, "its owner reports the primary unreachable"};
     }
+    // The owner of rank 0 is silent too. The probe lasts about as long as one rank's delay, so it
+    // takes the place of that delay instead of adding to it.
     const auto heard = view_.heard(view_.primary()).value_or(quiet_since_);
-    return {std::max(heard, quiet_since_) + settings_.primary_silence + rank_wait(), true,
-            "no report about the primary"};
+    return {std::max(heard, quiet_since_) + settings_.primary_silence + rank_wait() -
+                settings_.rank_delay,
+            true, "no report about the primary"};
 }
 
 duration group_monitor::rank_wait() const {
--- a/src/core/promotion.cpp
+++ b/src/core/promotion.cpp
@@ -21,8 +21,7 @@
 
 promotion::promotion(promotion_proposal proposal, std::vector<promotion_member> members,
                      node_ids ids, promotion_limits limits)
-    : proposal_{std::move(proposal)}, ids_{ids}, limits_{limits}, highest_seen_{
-                                                                      proposal_.proposed} {
+    : proposal_{std::move(proposal)}, ids_{ids}, limits_{limits} {
     for (auto& member : members) {
         members_.push_back(
             {backend_call{std::move(member.backend), std::move(member.endpoint), ids_},
