--- a/src/core/group_view.cpp
+++ b/src/core/group_view.cpp
@@ -12,8 +12,9 @@
 /// Bounds the memory for groups whose replicas never catch up.
 constexpr std::size_t max_marks = 256;
 constexpr std::size_t max_expectations = 256;
-/// A measured lag older than this says nothing about the next write.
-constexpr duration lag_memory = std::chrono::seconds{2};
+/// A measured lag older than this says nothing about the next write. No new lag is measured while
+/// writes are refused, so a longer time would go on refusing after the replicas caught up.
+constexpr duration lag_memory = std::chrono::milliseconds{500};
 
 /// Orders the states of one backend server. Within the accepted term the log only grows, but a
 /// replica that starts to follow may first discard entries of earlier terms.
@@ -111,6 +112,7 @@
 void group_view::forget_confirmations() {
     confirmed_at_.reset();
     marks_.clear();
+    expectations_.clear(); // Their lag would include the pause.
     for (auto& [backend, known] : members_) {
         known.measured.reset();
         known.complete.reset();
