Leave unset endpoints out of JSON messages

Cause: an unset endpoint was encoded as ":0", which the decoder refuses, so every backend request without the field primary was answered with malformed_request. Ruled out: a decoder that accepts ":0" (settings files would accept it too). Change: the codec leaves an unset endpoint out, as it does with unset optionals. Figures: the new test fails before the change and passes after it. Conclusion: default requests survive encoding and decoding.

--- a/include/jackdawvane/json_codec.hpp
+++ b/include/jackdawvane/json_codec.hpp
@@ -414,6 +414,9 @@
 template <>
 struct json_traits<endpoint> {
     static Json::Value encode(const endpoint& value) {
+        if (value == endpoint{}) {
+            return {}; // An unset endpoint is left out; its text form could not be decoded.
+        }
         return {value.address + ":" + std::to_string(value.port)};
     }
     static void decode(const Json::Value& json, endpoint& value, const std::string& path,
--- a/tests/core/json_codec_test.cpp
+++ b/tests/core/json_codec_test.cpp
@@ -22,6 +22,13 @@
     EXPECT_EQ(write_json(encode(received.value())), write_json(encode(sent)));
 }
 
+/// Guards against an unset endpoint whose text form the receiver refuses.
+TEST(JsonCodec, DefaultBackendRequestSurvivesEncodingAndDecoding) {
+    const auto json = to_json(backend_request{});
+    EXPECT_FALSE(json.isMember("primary"));
+    EXPECT_TRUE(from_json<backend_request>(json));
+}
+
 struct malformed_case {
     const char* name;
     const char* json;
