Add the load and measurement tool

Cause: the goals (failover gap, wrongful refusals, replica reads, worst-served organisation, added latency) and the guarantees need one tool that measures and checks them from the callers' side. Ruled out: a closed loop (it hides waiting time from the latencies) and checks on answers alone (lost and doubled orders show only in the servers' logs). Conclusion: the tool runs; it has not met the daemon yet.

--- /dev/null
+++ b/src/standins/jackdawvane-load/direct_run.cpp
@@ -0,0 +1,139 @@
+#include "standins/jackdawvane-load/direct_run.hpp"
+
+#include "jackdawvane/backend.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+#include <vector>
+
+#include "standins/jackdawvane-load/caller_client.hpp"
+
+namespace jackdawvane::standin {
+
+namespace {
+
+constexpr milliseconds call_timeout{5000};
+
+double to_us(steady_clock::duration value) {
+    return std::chrono::duration<double, std::micro>{value}.count();
+}
+
+Json::Value statements_of(access_mode mode) {
+    Json::Value statement;
+    statement["op"] = mode == access_mode::read ? "get" : "put";
+    statement["key"] = "overhead";
+    if (mode == access_mode::write) {
+        statement["value"] = 1;
+    }
+    Json::Value statements;
+    statements.append(statement);
+    return statements;
+}
+
+/// @brief Both ways to the same backend server.
+class paired_ways {
+  public:
+    paired_ways(asio::io_context& io, direct_settings settings)
+        : settings_{std::move(settings)}, backend_{io, settings_.backend, settings_.address},
+          vm_{io, settings_.vm, settings_.address} {}
+
+    awaitable<void> connect() {
+        const auto answer = co_await backend_.post("/connect", Json::objectValue, call_timeout);
+        if (answer.isNull() || answer.isMember("error")) {
+            throw std::runtime_error{"the backend server accepts no connection"};
+        }
+    }
+
+    awaitable<steady_clock::duration> ask_backend() {
+        backend_request request;
+        request.id = request_id{++number_};
+        request.operation = backend_operation::execute;
+        request.mode = settings_.mode;
+        request.statements = statements_of(settings_.mode);
+        const auto started = steady_clock::now();
+        const auto answer = co_await backend_.post("/backend", to_json(request), call_timeout);
+        const auto taken = steady_clock::now() - started;
+        if (answer["problem"]["kind"] != "none") {
+            throw std::runtime_error{"the backend server answered " + write_json(answer)};
+        }
+        co_return taken;
+    }
+
+    awaitable<steady_clock::duration> ask_proxy() {
+        caller_call call;
+        call.target = "/v1/routes/" + settings_.route.str();
+        call.key = settings_.key;
+        call.session = session_;
+        call.body = route_body(settings_.partition, settings_.mode, statements_of(settings_.mode));
+        if (settings_.mode == access_mode::write) {
+            call.name = "direct-" + std::to_string(steady_clock::now().time_since_epoch().count());
+        }
+        const auto started = steady_clock::now();
+        const auto reply = co_await send_call(vm_, std::move(call));
+        const auto taken = steady_clock::now() - started;
+        if (!reply.succeeded()) {
+            throw std::runtime_error{"the proxy answered " + reply.message};
+        }
+        session_ = reply.session.empty() ? session_ : reply.session;
+        served_by_[reply.served_by] += 1;
+        co_return taken;
+    }
+
+    [[nodiscard]] const std::map<std::string, std::uint64_t>& served_by() const {
+        return served_by_;
+    }
+
+  private:
+    direct_settings settings_;
+    http_client backend_;
+    http_client vm_;
+    std::uint64_t number_{0};
+    std::string session_;
+    std::map<std::string, std::uint64_t> served_by_;
+};
+
+double quantile(const std::vector<double>& sorted, double share) {
+    return sorted.at(static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1)));
+}
+
+} // namespace
+
+awaitable<Json::Value> run_direct(asio::io_context& io, direct_settings settings) {
+    paired_ways ways{io, settings};
+    co_await ways.connect();
+    latency_histogram direct;
+    latency_histogram proxied;
+    std::vector<double> added;
+    for (std::uint32_t pair = 0; pair < settings.warm_up + settings.pairs; ++pair) {
+        // The order alternates, so that neither way profits from the other.
+        const bool direct_first = pair % 2 == 0;
+        steady_clock::duration by_backend{};
+        if (direct_first) {
+            by_backend = co_await ways.ask_backend();
+        }
+        const auto by_proxy = co_await ways.ask_proxy();
+        if (!direct_first) {
+            by_backend = co_await ways.ask_backend();
+        }
+        if (pair < settings.warm_up) {
+            continue;
+        }
+        direct.add(by_backend);
+        proxied.add(by_proxy);
+        added.push_back(to_us(by_proxy - by_backend));
+    }
+    std::sort(added.begin(), added.end());
+    Json::Value json;
+    json["latency"]["direct"] = direct.summary();
+    json["latency"]["proxied"] = proxied.summary();
+    if (!added.empty()) {
+        json["added"]["p50_us"] = quantile(added, 0.5);
+        json["added"]["p95_us"] = quantile(added, 0.95);
+    }
+    for (const auto& [backend, count] : ways.served_by()) {
+        json["served_by"][backend] = Json::UInt64{count};
+    }
+    co_return json;
+}
+
+} // namespace jackdawvane::standin
