Tune token and rate moves, and test the single faults

Most refusals hit small organisations, whose tokens were scattered in parts of about one token over all VMs, and VMs that fetched one token per message.

Change: at least 4 tokens of burst per holder, also after a move; requests for tokens ask ahead; only requests in vain count against the message limit; a VM that lately had no token keeps what it needs next; rate moves are rarer and larger; a giver that does not know the receiver reads the record first. The study counts costs after the warm-up and has a load without changes.

--- a/include/jackdawvane/organisation_limiter.hpp
+++ b/include/jackdawvane/organisation_limiter.hpp
@@ -25,7 +25,7 @@
     duration lease_renewal{std::chrono::seconds{10}};
     duration share_interval{std::chrono::seconds{1}}; ///< Between requests for more rate.
     std::uint32_t holders_per_domain{3};
-    double messages_per_second{25}; ///< Token requests per organisation; bounds overload.
+    double messages_per_second{30}; ///< Token requests in vain per organisation; bounds overload.
     share_settings shares;
 
     static constexpr auto fields() {
@@ -135,7 +135,7 @@
     share_ledger ledger_;
     token_bucket bucket_;
     token_donors donors_;
-    token_bucket messages_; ///< Token requests that may be sent.
+    token_bucket messages_; ///< Token requests that may still be sent in vain.
     std::optional<organisation_row> row_;
     std::deque<waiter> waiting_;
     std::map<std::pair<vm_id, request_id>, transit> transits_;
@@ -144,6 +144,7 @@
     double demand_{0};
     time_point demand_at_{};
     bool short_of_tokens_{false}; ///< Asked for tokens since the last share request.
+    time_point short_at_{-std::chrono::hours{1}}; ///< When a request last found no token here.
     time_point share_request_at_{};
     time_point last_gift_{};
 };
--- a/src/core/organisation_limiter.cpp
+++ b/src/core/organisation_limiter.cpp
@@ -12,13 +12,22 @@
 /// Requests that wait for tokens of other VMs; beyond this the fleet has none left.
 constexpr std::size_t longest_line = 256;
 /// Donors that are asked at the same time.
-constexpr std::size_t parallel_requests = 3;
+constexpr std::size_t parallel_requests = 6;
+/// A VM that lately had no token itself keeps what it needs for the next moments; else tokens of
+/// an organisation above its rate would travel to and fro, three messages each.
+constexpr duration short_memory = std::chrono::milliseconds{200};
+constexpr double kept_seconds = 0.1;
+/// Token requests that may be sent at once, for a burst of callers at one VM.
+constexpr double message_burst = 60;
 /// A holder asks for its deficit of this time ahead, which keeps the number of messages low.
-constexpr double ahead_seconds = 0.5;
+constexpr double ahead_seconds = 1;
+/// It also asks for this part of its free capacity: one token at a time takes a message each.
+constexpr double ahead_room = 0.4;
 constexpr duration shortest_retry = std::chrono::milliseconds{1};
 constexpr duration longest_retry = std::chrono::seconds{10};
-/// A holder needs this burst at least; smaller parts cannot collect one whole token.
-constexpr double smallest_burst_part = 2;
+/// Organisations with a small burst have fewer holders, so that each has this much of it. In
+/// smaller parts the tokens of a small organisation are scattered and requests are refused.
+constexpr double smallest_burst_part = 4;
 constexpr double region_preference = 0.8;
 constexpr double distant_preference = 0.5;
 
@@ -30,8 +39,7 @@
 void organisation_limiter::configure(time_point now, revision newer, const organisation_row& row,
                                      actions& out) {
     row_ = row;
-    const double messages = context_.limits.messages_per_second;
-    messages_.set_limits(now, messages, messages);
+    messages_.set_limits(now, context_.limits.messages_per_second, message_burst);
     ledger_.configure(now, newer, {row.rate, row.burst}, out);
     fleet_changed(now, out);
 }
@@ -61,6 +69,7 @@
     consider_share_request(now, out);
     const auto give_up = std::min(deadline, now + context_.limits.pending);
     if (waiting_.size() >= longest_line || give_up <= now) {
+        short_at_ = now;
         return {handle, admission_state::refused, refusal(now)};
     }
     waiting_.push_back({handle, give_up});
@@ -150,7 +159,9 @@
     if (!uses_share()) {
         return 0;
     }
-    return std::max(0.0, bucket_.tokens(now) - static_cast<double>(waiting_.size()));
+    const bool short_lately = now < short_at_ + short_memory;
+    const double kept = short_lately ? demand(now) * kept_seconds : 0;
+    return std::max(0.0, bucket_.tokens(now) - static_cast<double>(waiting_.size()) - kept);
 }
 
 void organisation_limiter::serve(time_point now) {
@@ -185,7 +196,8 @@
             return;
         }
         const double room = bucket_.capacity() - bucket_.reserved();
-        const double ahead = own ? std::clamp(deficit * ahead_seconds, 0.0, room / 2) : 0;
+        const double refill = std::max(deficit * ahead_seconds, room * ahead_room);
+        const double ahead = own ? std::clamp(refill, 0.0, room / 2) : 0;
         const double likely = donors_.estimate(now, *donor);
         send_request(now, *donor, missing, ahead, out);
         missing -= std::max(1.0, likely);
@@ -204,6 +216,7 @@
     const double likely = std::max(1.0, donors_.estimate(now, donor));
     donors_.asked(id, donor.vm, std::min(missing, likely), now + validity);
     short_of_tokens_ = true;
+    short_at_ = now;
     out.emplace_back(
         send_to_peer{donor.vm, entry->second.peer, peer_channel::stream,
                      token_request{id, organisation_, missing + ahead, missing, validity}});
--- a/src/core/organisation_limiter_peers.cpp
+++ b/src/core/organisation_limiter_peers.cpp
@@ -21,15 +21,19 @@
 /// Part of the tokens left after the waiting requests that a donor gives ahead.
 constexpr double ahead_fraction = 0.5;
 /// Average over this time tells the demand.
-constexpr double demand_seconds = 2;
+constexpr double demand_seconds = 5;
 constexpr double microseconds_per_second = 1e6;
 /// A giver keeps this multiple of its own demand.
 constexpr double demand_margin = 1.2;
 /// Part of an equal share that every giver keeps.
 constexpr double kept_fraction = 0.1;
 /// Moves below this part of the whole are not worth a store call.
-constexpr std::uint32_t smallest_gift = whole_share / 200;
-constexpr duration gift_interval = std::chrono::seconds{2};
+constexpr std::uint32_t smallest_gift = whole_share / 50;
+/// Part of its spare rate that a giver gives at once: fewer moves need fewer store calls.
+constexpr double gift_fraction = 0.8;
+/// Burst that every giver keeps; less than one token could never be used.
+constexpr double kept_burst = 2;
+constexpr duration gift_interval = std::chrono::seconds{4};
 constexpr duration rate_request_pause = std::chrono::seconds{8};
 
 double seconds(duration value) noexcept {
@@ -75,6 +79,7 @@
     }
     follow_ledger(now);
     if (message.amount > 0) {
+        messages_.add(now, 1);
         spend_grant(now, message.amount);
         const auto entry = context_.live.find(from);
         if (entry != context_.live.end()) {
@@ -135,11 +140,12 @@
     }
     const double holders = std::max(1.0, static_cast<double>(ledger_.record().holders.size()));
     const double kept = std::max(demand(now) * demand_margin, whole.rate / holders * kept_fraction);
-    const double spare = std::max(0.0, bucket_.rate() - kept) / 2;
+    const double spare = std::max(0.0, bucket_.rate() - kept) * gift_fraction;
     const double lacking = std::max(0.0, wanted.demand * demand_margin - wanted.rate);
     double part = std::min(spare, lacking) / whole.rate;
     if (whole.burst > 0) {
-        part = std::min(part, (bucket_.capacity() - bucket_.reserved()) / whole.burst);
+        const double kept_capacity = std::max(bucket_.reserved(), kept_burst);
+        part = std::min(part, (bucket_.capacity() - kept_capacity) / whole.burst);
     }
     return static_cast<std::uint32_t>(std::clamp(part, 0.0, 1.0) * whole_share);
 }
@@ -149,7 +155,9 @@
         return;
     }
     share_request_at_ = now + context_.limits.share_interval;
-    const bool lacking = std::exchange(short_of_tokens_, false) && demand(now) > bucket_.rate();
+    const double wanted = demand(now) * demand_margin - bucket_.rate();
+    const bool worthwhile = wanted * whole_share > ledger_.limits().rate * smallest_gift;
+    const bool lacking = std::exchange(short_of_tokens_, false) && worthwhile;
     if (!lacking) {
         return;
     }
--- a/src/core/share_ledger.cpp
+++ b/src/core/share_ledger.cpp
@@ -84,9 +84,10 @@
 
 bool share_ledger::give(time_point now, const vm_id& receiver, std::uint32_t part, actions& out) {
     const bool busy = call_kind_ != call_kind::none || read_needed_ || transfer_ || now < retry_at_;
-    if (busy || part == 0 || part > usable_part() || record_.find(receiver) == nullptr) {
+    if (busy || !verified_ || part == 0 || part > usable_part()) {
         return false;
     }
+    read_needed_ = record_.find(receiver) == nullptr; // It may have joined since.
     transfer_ = transfer{receiver, part, 0};
     report(out, "gives " + std::to_string(part) + " millionths to " + receiver.str());
     advance(now, out);
@@ -220,7 +221,8 @@
 /// Drops a transfer that cannot happen any more, and stops the use of a part that is not wanted.
 void share_ledger::drop_outdated(time_point now) {
     const bool known = transfer_ && record_.find(transfer_->receiver) != nullptr;
-    if (transfer_ && (!known || own_entry() == nullptr || own_entry()->part < transfer_->part)) {
+    if (transfer_ && !read_needed_ &&
+        (!known || own_entry() == nullptr || own_entry()->part < transfer_->part)) {
         transfer_.reset();
     }
     const auto* entry = record_.find(context_.self);
--- a/src/programs/jackdawvane-limits/scenario.cpp
+++ b/src/programs/jackdawvane-limits/scenario.cpp
@@ -50,13 +50,13 @@
     auto next_shuffle = time_point{};
     std::discrete_distribution<std::size_t> slot;
     for (auto at = time_point{}; at < end; at += from_seconds(gap(random))) {
-        if (at >= next_shuffle) {
+        if (at >= next_shuffle && (chosen.changes || at == time_point{})) {
             const auto weights = slot_weights(chosen.uneven, random);
             slot = std::discrete_distribution<std::size_t>(weights.begin(), weights.end());
             next_shuffle += reshuffle;
         }
         all.push_back({at, slot(random), organisation});
-        if (at >= next_burst) {
+        if (at >= next_burst && chosen.changes) {
             next_burst = at + from_seconds(burst_gap(random));
             const auto target = slot(random);
             for (int i = 0; i < static_cast<int>(limits.burst * burst_part); ++i) {
@@ -72,6 +72,9 @@
     scenario even{"even callers"};
     even.uneven = false;
     scenario uneven{"uneven callers"};
+    scenario steady{"uneven callers, no change"};
+    steady.changes = false;
+    steady.warm_up = seconds{60};
     scenario outage{"uneven, store outage"};
     outage.store_outage = {seconds{30}, seconds{90}};
     scenario cut{"uneven, domain cut"};
@@ -80,7 +83,7 @@
     replaced.replacement = seconds{20};
     scenario overloaded{"uneven, one organisation at 5x"};
     overloaded.overload = 5;
-    return {even, uneven, outage, cut, replaced, overloaded};
+    return {even, uneven, steady, outage, cut, replaced, overloaded};
 }
 
 const std::vector<share_limits>& organisation_limits() {
--- a/src/programs/jackdawvane-limits/scenario.hpp
+++ b/src/programs/jackdawvane-limits/scenario.hpp
@@ -37,6 +37,7 @@
     period store_outage;                 ///< No store call succeeds.
     period domain_cut;                   ///< The last failure domain reaches nobody else.
     std::chrono::seconds replacement{0}; ///< A VM is killed and replaced this often; 0 for never.
+    bool changes{true};                  ///< Callers move to other VMs, and bursts come.
     double overload{1};                  ///< Factor of the first organisation's rate.
     std::chrono::seconds length{120};
     std::chrono::seconds warm_up{15}; ///< Not measured: shares start empty.
--- a/src/programs/jackdawvane-limits/study.cpp
+++ b/src/programs/jackdawvane-limits/study.cpp
@@ -62,6 +62,11 @@
         if (scenario_.replacement.count() > 0) {
             world_.after(scenario_.replacement, [this] { replace(); });
         }
+        world_.after(scenario_.warm_up, [this] {
+            world_.store_calls = 0;
+            world_.messages = 0;
+            world_.bytes = 0;
+        });
         world_.run();
         summarise();
         return result_;
@@ -138,7 +143,7 @@
             }
             result_.overshoot = std::max(result_.overshoot, meters_[i].overshoot());
         }
-        const auto length = static_cast<double>(scenario_.length.count());
+        const auto length = static_cast<double>((scenario_.length - scenario_.warm_up).count());
         result_.wrongful_percent =
             percent * static_cast<double>(result_.wrongful) / static_cast<double>(allowed);
         result_.waited_percent =
--- /dev/null
+++ b/tests/core/rate_limiter_test.cpp
@@ -0,0 +1,128 @@
+#include "limiter_fleet.hpp"
+#include <gtest/gtest.h>
+
+namespace jackdawvane {
+namespace {
+
+using std::chrono::seconds;
+
+/// Four VMs; three hold shares of 90 requests/s, burst 30, and the fourth is no holder.
+class RateLimiter : public testing::Test {
+  protected:
+    RateLimiter() : fleet{rate_limiter_settings{}} {
+        for (const char* vm : {"a", "b", "c", "d"}) {
+            fleet.start(vm, 1, "d");
+        }
+        fleet.configure_all(1, 90, 30);
+        fleet.announce_fleet();
+        fleet.run(seconds{5});
+        for (auto& each : fleet.nodes) {
+            (fleet.limiter(*each).ledger().holder() ? holders : others).push_back(each.get());
+        }
+        fleet.decided = [this](auto& /*at*/, const admission& each) {
+            ++(each.state == admission_state::admitted ? admitted : refused);
+            last = each;
+        };
+        fleet.message_fate = [this](const peer_message& message) {
+            ++sent[method_of(message)];
+            return limiter_fleet::fate{{from_milliseconds(1)}};
+        };
+    }
+
+    limiter_fleet fleet;
+    std::vector<limiter_fleet::node*> holders;
+    std::vector<limiter_fleet::node*> others;
+    std::map<std::string, int> sent;
+    int admitted{0};
+    int refused{0};
+    admission last;
+};
+
+/// Guards against tokens that stay where nobody needs them.
+TEST_F(RateLimiter, BurstAtOneVmUsesTheTokensOfAll) {
+    ASSERT_EQ(holders.size(), 3U);
+    for (int i = 0; i < 30; ++i) {
+        fleet.request(*holders[0]);
+    }
+    fleet.run(from_milliseconds(60));
+    EXPECT_GE(admitted, 29);
+}
+
+/// Guards against a VM without a share that keeps granted tokens, or gets none.
+TEST_F(RateLimiter, VmWithoutShareSpendsGrantsAtOnce) {
+    ASSERT_EQ(others.size(), 1U);
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_EQ(fleet.request(*others[0]), admission_state::pending);
+    }
+    fleet.run(from_milliseconds(60));
+    EXPECT_EQ(admitted, 5);
+    EXPECT_EQ(fleet.limiter(*others[0]).bucket().tokens(fleet.now), 0);
+}
+
+/// Guards against requests that wait without end for a donor that does not answer.
+TEST_F(RateLimiter, PendingRequestIsRefusedWithRetryTimeAfterTheLimit) {
+    fleet.message_fate = [](const peer_message&) { return limiter_fleet::fate{}; };
+    EXPECT_EQ(fleet.request(*others[0]), admission_state::pending);
+    fleet.run(from_milliseconds(49));
+    EXPECT_EQ(refused, 0);
+    fleet.run(from_milliseconds(2));
+    ASSERT_EQ(refused, 1);
+    EXPECT_EQ(last.problem.kind, error_kind::rate_exceeded);
+    ASSERT_TRUE(last.problem.retry_after);
+    EXPECT_EQ(*last.problem.retry_after, duration{11111}); // One token at 90 per second.
+}
+
+/// Guards against a grant that is used after its donor has freed the capacity.
+TEST_F(RateLimiter, LateGrantIsNotUsed) {
+    fleet.message_fate = [](const peer_message& message) {
+        const bool grant = std::holds_alternative<token_grant>(message);
+        return limiter_fleet::fate{{from_milliseconds(grant ? 151 : 1)}};
+    };
+    EXPECT_EQ(fleet.request(*others[0]), admission_state::pending);
+    fleet.run(from_milliseconds(155));
+    EXPECT_EQ(refused, 1);
+    fleet.run(seconds{1});
+    EXPECT_EQ(admitted, 0);
+    for (const auto* each : holders) {
+        EXPECT_EQ(fleet.limiter(*each).bucket().reserved(), 0);
+    }
+}
+
+/// Guards against a message storm by an organisation that sends several times its rate.
+TEST_F(RateLimiter, OverloadCausesFewMessages) {
+    constexpr int length = 20;
+    for (int i = 0; i < length * 450; ++i) {
+        fleet.request(*fleet.nodes[static_cast<std::size_t>(i) % fleet.nodes.size()]);
+        fleet.run(duration{1000000 / 450});
+    }
+    EXPECT_LE(admitted, length * 90 + 31);
+    EXPECT_GE(admitted, length * 90 * 95 / 100);
+    EXPECT_LT(sent["tokens.request"], length * 90);
+    EXPECT_LE(sent["share.request"], length * 4);
+}
+
+/// Guards against rate that stays with VMs that see no callers.
+TEST_F(RateLimiter, RateMovesToTheVmWithTheCallers) {
+    for (int i = 0; i < 20 * 70; ++i) {
+        fleet.request(*holders[0]);
+        fleet.run(duration{1000000 / 70});
+    }
+    EXPECT_GT(fleet.limiter(*holders[0]).bucket().rate(), 60);
+}
+
+/// Guards against an organisation without a row that is served.
+TEST_F(RateLimiter, OrganisationWithoutRowIsRefused) {
+    fleet.on(*holders[0], [&](actions& out) {
+        const auto verdict = holders[0]->limiter->admit(fleet.now, organisation_id{"other"},
+                                                        request_id{1}, no_deadline, out);
+        EXPECT_EQ(verdict.state, admission_state::refused);
+        EXPECT_EQ(verdict.problem.kind, error_kind::rate_exceeded);
+    });
+    fleet.on(*holders[0], [&](actions& out) {
+        holders[0]->limiter->configure(fleet.now, {}, revision{2}, out);
+    });
+    EXPECT_EQ(fleet.request(*holders[0]), admission_state::refused);
+}
+
+} // namespace
+} // namespace jackdawvane
--- /dev/null
+++ b/tests/core/share_ledger_test.cpp
@@ -0,0 +1,268 @@
+#include "limiter_fleet.hpp"
+#include <gtest/gtest.h>
+
+namespace jackdawvane {
+namespace {
+
+using std::chrono::seconds;
+
+/// Three VMs in one failure domain that hold a third of 90 requests/s, burst 30, each.
+class ShareLedger : public testing::Test {
+  protected:
+    ShareLedger() : fleet{rate_limiter_settings{}} {
+        a = &fleet.start("a", 1, "d");
+        b = &fleet.start("b", 1, "d");
+        c = &fleet.start("c", 1, "d");
+        fleet.configure_all(1, 90, 30);
+        fleet.announce_fleet();
+        fleet.run(seconds{5});
+        for (auto* each : {a, b, c}) {
+            notify(*each, 3); // All know the record in which all have joined.
+        }
+        fleet.run(seconds{1});
+    }
+
+    void notify(limiter_fleet::node& target, std::uint64_t version) {
+        fleet.on(target, [this, &target, version](actions& out) {
+            target.limiter->on_peer(fleet.now, vm_id{"x"},
+                                    share_notice{fleet.organisation, version}, out);
+        });
+    }
+    double rate_of(const limiter_fleet::node& each) {
+        return fleet.limiter(each).ledger().usable().rate;
+    }
+    double tokens_of(const limiter_fleet::node& each) {
+        return fleet.limiter(each).bucket().tokens(fleet.now);
+    }
+    std::uint32_t part_of(const char* vm) {
+        const auto record = fleet.record();
+        const auto* holder = record.find(vm_id{vm});
+        return holder == nullptr ? 0 : holder->part;
+    }
+    /// Tells @a giver that @a asker sees more demand than its rate.
+    void ask_for_rate(limiter_fleet::node& giver, const char* asker, double demand) {
+        fleet.on(giver, [this, &giver, asker, demand](actions& out) {
+            giver.limiter->on_peer(fleet.now, vm_id{asker},
+                                   share_request{fleet.organisation, demand, 30}, out);
+        });
+    }
+    /// Lets the next write of a share record take effect and loses its answer.
+    void lose_next_answer() {
+        fleet.call_fate = [this](const store_request& request) {
+            limiter_fleet::store_fate fate;
+            if (request.operation == store_operation::compare_and_swap) {
+                fate.lost_answer = true;
+                fleet.call_fate = [](const store_request&) { return limiter_fleet::store_fate{}; };
+            }
+            return fate;
+        };
+    }
+    void kill_and_forget(limiter_fleet::node& victim) {
+        const auto vm = victim.entry.vm;
+        fleet.kill(victim);
+        fleet.announce_fleet({vm});
+    }
+
+    limiter_fleet fleet;
+    limiter_fleet::node* a{nullptr};
+    limiter_fleet::node* b{nullptr};
+    limiter_fleet::node* c{nullptr};
+};
+
+/// Guards against holders that do not get an equal part, or start with tokens.
+TEST_F(ShareLedger, NewHoldersGetEqualPartsAndStartEmpty) {
+    for (const auto* each : {a, b, c}) {
+        EXPECT_NEAR(rate_of(*each), 30, 0.01);
+    }
+    auto& late = fleet.start("d", 1, "d");
+    fleet.configure(late, 1, 90, 30);
+    fleet.announce_fleet();
+    fleet.run(seconds{2});
+    EXPECT_LE(part_of("d"), 1U); // Nothing else is unassigned: it has to ask the others.
+    EXPECT_LT(tokens_of(late), 0.01);
+    ask_for_rate(*a, "d", 60);
+    fleet.run(seconds{1});
+    EXPECT_GT(rate_of(late), 15);
+    EXPECT_LE(rate_of(*a) + rate_of(late), 30.01);
+}
+
+/// Guards against a giver that lowers its own limit only after the record has changed, and a
+/// receiver that gets tokens with the moved capacity.
+TEST_F(ShareLedger, GiverClampsBeforeTheRecordChangesAndReceiverStartsEmpty) {
+    fleet.call_fate = [](const store_request&) {
+        return limiter_fleet::store_fate{seconds{1}, seconds{1}, false, false};
+    };
+    while (tokens_of(*b) >= 1) {
+        EXPECT_EQ(fleet.request(*b), admission_state::admitted);
+    }
+    ask_for_rate(*a, "b", 60);
+    EXPECT_LT(rate_of(*a), 10);
+    EXPECT_LT(tokens_of(*a), 4);
+    EXPECT_EQ(part_of("a"), 333333U);   // Not yet written.
+    fleet.run(from_milliseconds(4200)); // Write, notice and read.
+    EXPECT_GT(rate_of(*b), 50);
+    EXPECT_NEAR(rate_of(*a) + rate_of(*b) + rate_of(*c), 90, 0.1);
+}
+
+/// Guards against a giver that uses a part again because the store's answer was lost.
+TEST_F(ShareLedger, LostAnswerCountsAsGivenUntilReadBack) {
+    lose_next_answer();
+    ask_for_rate(*a, "b", 60);
+    fleet.run(from_milliseconds(100));
+    const double kept = rate_of(*a);
+    EXPECT_LT(kept, 10);
+    fleet.run(seconds{3}); // Reads back: the change had taken effect; the receiver gets a notice.
+    EXPECT_NEAR(rate_of(*a), kept, 0.01);
+    EXPECT_NEAR(rate_of(*b), 60 - kept, 0.01);
+}
+
+/// Guards against a lost request that still takes effect after the giver has read the record back
+/// at the old version and has taken its part again.
+TEST_F(ShareLedger, DelayedChangeCannotTakeEffectAfterTheReadBack) {
+    store_request delayed;
+    fleet.call_fate = [&](const store_request& request) {
+        limiter_fleet::store_fate fate;
+        if (request.operation == store_operation::compare_and_swap && delayed.key.empty()) {
+            delayed = request;
+            fate.lost_request = true;
+        }
+        return fate;
+    };
+    ask_for_rate(*a, "b", 60);
+    fleet.run(seconds{3});
+    EXPECT_NEAR(rate_of(*a), 30, 0.01); // Read back, and made sure of by an equal record.
+    EXPECT_EQ(fleet.store.call(fleet.now, delayed).status, store_status::conflict);
+}
+
+/// Guards against a move that survives a rate change by an operator, or undoes it.
+TEST_F(ShareLedger, RateChangeDuringAMoveKeepsTheSum) {
+    ask_for_rate(*a, "b", 60);
+    fleet.configure_all(2, 45, 15);
+    EXPECT_LE(rate_of(*a) + rate_of(*b) + rate_of(*c), 45.01); // At once, before the record.
+    EXPECT_EQ(fleet.record().rate, 90);
+    fleet.run(seconds{10});
+    EXPECT_EQ(fleet.record().rate, 45);
+    EXPECT_NEAR(rate_of(*a) + rate_of(*b) + rate_of(*c), 45, 0.1);
+    fleet.configure_all(3, 180, 60);
+    EXPECT_LE(rate_of(*a) + rate_of(*b) + rate_of(*c), 45.01); // A raise waits for the record.
+    const int calls = fleet.store.calls;
+    fleet.run(seconds{8});
+    EXPECT_NEAR(rate_of(*a) + rate_of(*b) + rate_of(*c), 180, 0.1);
+    EXPECT_LE(fleet.store.calls - calls, 6); // One write, a read by each other VM, leases.
+}
+
+/// Guards against a share that is taken from a VM that was never listed, or is heard by a peer.
+TEST_F(ShareLedger, VmThatIsNotListedYetIsNotGone) {
+    auto record = fleet.record();
+    record.holders[0].vm = vm_id{"unknown"};
+    fleet.store.values[share_key(fleet.organisation)] = {write_json(to_json(record)), 50};
+    fleet.run(seconds{300});
+    EXPECT_NE(fleet.record().find(vm_id{"unknown"}), nullptr);
+}
+
+/// Guards against a reclaim while the lease runs, and two reclaimers that both take the part.
+TEST_F(ShareLedger, GoneHolderIsReclaimedOnceAfterItsLease) {
+    fleet.settings.shares.takeover_step = duration{0};
+    kill_and_forget(*c);
+    fleet.run(seconds{5});
+    EXPECT_NE(part_of("c"), 0U);
+    fleet.run(seconds{60});
+    EXPECT_EQ(part_of("c"), 0U);
+    EXPECT_NEAR(rate_of(*a) + rate_of(*b), 90, 0.1);
+    EXPECT_NEAR(rate_of(*a), 45, 0.1);
+}
+
+/// Guards against two reclaimers whose writes both count.
+TEST_F(ShareLedger, RacingReclaimersAddThePartOnce) {
+    fleet.call_fate = [](const store_request&) { // Both read the lease before either writes.
+        return limiter_fleet::store_fate{seconds{2}, seconds{2}, false, false};
+    };
+    kill_and_forget(*c);
+    fleet.run(seconds{120});
+    const auto record = fleet.record();
+    EXPECT_EQ(record.find(vm_id{"c"}), nullptr);
+    EXPECT_LE(record.holders[0].part + record.holders[1].part, whole_share);
+    EXPECT_NEAR(rate_of(*a) + rate_of(*b), 90, 0.1);
+}
+
+/// Guards against a paused holder that uses a share which others have reclaimed meanwhile.
+TEST_F(ShareLedger, PausedHolderStopsUntilItsEntryIsConfirmed) {
+    c->frozen = true;
+    fleet.announce_fleet({vm_id{"c"}});
+    fleet.run(seconds{70});
+    ASSERT_NEAR(rate_of(*a) + rate_of(*b), 90, 0.1);
+    fleet.store.down = true;
+    fleet.thaw(*c);
+    EXPECT_FALSE(fleet.limiter(*c).ledger().verified());
+    EXPECT_NE(fleet.request(*c), admission_state::admitted);
+    fleet.store.down = false;
+    fleet.run(seconds{20});
+    EXPECT_TRUE(fleet.limiter(*c).ledger().verified());
+    EXPECT_EQ(rate_of(*c), 0);
+}
+
+/// Guards against a short pause that stops a share needlessly.
+TEST_F(ShareLedger, PauseWithinTheLeaseChangesNothing) {
+    c->frozen = true;
+    fleet.run(seconds{5});
+    fleet.thaw(*c);
+    EXPECT_EQ(fleet.request(*c), admission_state::admitted);
+}
+
+/// Guards against a burst part that is given away or given back while tokens that were granted
+/// from it are in transit; its new holder could refill it and the total exceed the burst.
+TEST_F(ShareLedger, TokensInTransitKeepTheirCapacity) {
+    const auto grant_tokens = [this](limiter_fleet::node& donor) {
+        fleet.on(donor, [this, &donor](actions& out) {
+            donor.limiter->on_peer(
+                fleet.now, vm_id{"b"},
+                token_request{request_id{7}, fleet.organisation, 9, 9, from_milliseconds(300)},
+                out);
+        });
+        return fleet.limiter(donor).bucket().reserved();
+    };
+    fleet.message_fate = [](const peer_message&) { return limiter_fleet::fate{}; };
+    EXPECT_NEAR(grant_tokens(*a), 9, 0.01);
+    ask_for_rate(*a, "b", 200);
+    EXPECT_GE(fleet.limiter(*a).bucket().capacity(), 9);
+    EXPECT_NEAR(grant_tokens(*c), 9, 0.01);
+    fleet.on(*c, [&](actions& out) { c->limiter->leave(fleet.now, out); });
+    fleet.run(from_milliseconds(320));
+    EXPECT_NE(part_of("c"), 0U);
+    fleet.run(seconds{1});
+    EXPECT_EQ(part_of("c"), 0U);
+}
+
+/// Guards against parts that are lost when their holder leaves.
+TEST_F(ShareLedger, LeavingGivesThePartBack) {
+    fleet.on(*c, [&](actions& out) { c->limiter->leave(fleet.now, out); });
+    EXPECT_EQ(rate_of(*c), 0);
+    fleet.run(seconds{2});
+    EXPECT_TRUE(c->limiter->left());
+    EXPECT_FALSE(fleet.store.leases.contains(lease_key(vm_id{"c"})));
+    fleet.kill(*c);
+    fleet.announce_fleet();
+    fleet.run(seconds{120});
+    EXPECT_NEAR(rate_of(*a) + rate_of(*b), 90, 0.1);
+}
+
+/// Guards against record reads by polling.
+TEST(ShareLedgerCost, IdleFleetCallsTheStoreRarely) {
+    limiter_fleet fleet{rate_limiter_settings{}};
+    for (int i = 0; i < 9; ++i) {
+        fleet.start("vm" + std::to_string(i), 1, "d" + std::to_string(i % 3));
+    }
+    fleet.configure_all(1, 90, 90);
+    fleet.announce_fleet();
+    fleet.run(seconds{20});
+    const int before = fleet.store.calls;
+    fleet.run(seconds{600});
+    // One lease renewal per VM and 10 s whatever the organisations, and here one record.
+    constexpr double leases_per_second = 0.9;
+    constexpr double organisations = 8;
+    const double records = (fleet.store.calls - before) / 600.0 - leases_per_second;
+    EXPECT_LT(leases_per_second + records * organisations, 2.5);
+}
+
+} // namespace
+} // namespace jackdawvane
