--- a/tests/adapters/backend_port_test.cpp
+++ b/tests/adapters/backend_port_test.cpp
@@ -6,6 +6,7 @@
 
 #include "loopback.hpp"
 #include "support/memory_ports.hpp"
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 
@@ -203,5 +204,21 @@
                          testing::Combine(testing::Values(port_kind::memory, port_kind::loopback),
                                           testing::Values(behaviour::answer)));
 
+/// Guards against connections from an address that the platform's rules do not let through.
+TEST(BackendPortAddress, ConnectionsComeFromTheConfiguredAddress) {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor server{context, {boost::asio::ip::make_address("127.0.0.8"), 0}};
+    boost::asio::ip::tcp::socket accepted{context};
+    std::string source;
+    server.async_accept(accepted, [&](boost::system::error_code) {
+        source = accepted.remote_endpoint().address().to_string();
+    });
+    loopback::event_log log;
+    backend_port_adapter port{context, {vm_id{"vm-1"}, "127.0.0.7"}, log.sink()};
+    port.open({connection, {}, {"127.0.0.8", server.local_endpoint().port()}});
+    ASSERT_TRUE(loopback::run_until(context, [&] { return !source.empty(); }));
+    EXPECT_EQ(source, "127.0.0.7");
+}
+
 } // namespace
 } // namespace jackdawvane
