--- a/src/core/group_monitor.cpp
+++ b/src/core/group_monitor.cpp
@@ -362,7 +362,8 @@
         exchange_.announce();
     }
     measured_ = std::max(measured_, asked);
-    if (status.position > follow_position_) {
+    // Waiting for a first entry after an idle time is replication lag, not a missing follow.
+    if (status.position > follow_position_ || !is_behind_quietly()) {
         progress_at_ = now;
     }
     follow_position_ = status.position;
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -45,6 +45,10 @@
     return fleet;
 }
 
+/// Longest wait for the store to take back the shares of a VM that has no other work left; an
+/// outage must not hold a shutdown up, and shares of a gone VM are reclaimed.
+constexpr duration share_return_timeout = std::chrono::seconds{3};
+
 configuration_replica_settings replica_settings(const node_settings& settings) {
     configuration_replica_settings replica;
     replica.self = settings.self.vm;
@@ -191,6 +195,7 @@
         return;
     }
     leaving_ = true;
+    leave_started_ = now;
     leave_deadline_ = now + settings_.drain_timeout;
     log(out, "node", log_level::info, "leaving: " + reason);
     members_.leave(now, out);
@@ -200,7 +205,8 @@
 }
 
 void node_impl::finish_leaving(time_point now, actions& out) {
-    const bool drained = executor_.pending() == 0 && owned_.idle() && limiter_.left();
+    const bool shares_settled = limiter_.left() || now >= leave_started_ + share_return_timeout;
+    const bool drained = executor_.pending() == 0 && owned_.idle() && shares_settled;
     if (stopped_ || (!drained && now < leave_deadline_)) {
         return;
     }
--- a/src/core/node_impl.hpp
+++ b/src/core/node_impl.hpp
@@ -106,6 +106,7 @@
     std::uint64_t fleet_version_{0};
     revision applied_revision_;
     time_point now_;
+    time_point leave_started_;
     time_point leave_deadline_{no_deadline};
     bool leaving_{false};
     bool stopped_{false};
--- a/src/standins/jackdawvane-load/load_session.cpp
+++ b/src/standins/jackdawvane-load/load_session.cpp
@@ -48,7 +48,7 @@
     std::uniform_int_distribution<std::uint32_t> choose{
         0, std::max(1U, context_.settings.partitions) - 1};
     const auto partition = "part-" + std::to_string(choose(context_.random));
-    return views_.try_emplace(partition, name_, partition).first->second;
+    return views_.try_emplace(partition, context_.run + "/" + name_, partition).first->second;
 }
 
 std::string load_session::next_order_name() {
