Log when a share record takes new limits

Cause: an operator could not see which VM put a changed rate in force, or when.

Change: one line per rewrite of a record's limits, with the revision.

Conclusion: each change of a share has its line.

--- a/src/core/share_ledger_calls.cpp
+++ b/src/core/share_ledger_calls.cpp
@@ -70,6 +70,10 @@
     if (answer.status == store_status::ok) {
         transfer_.reset();
         confirm_needed_ = false;
+        if (proposed_.limits() != record_.limits()) {
+            report(out, "record takes the limits of revision " +
+                            std::to_string(proposed_.revision.value()));
+        }
         observe(now, proposed_, answer.version, out);
         return;
     }
