Skip refused pairs in the paired comparison

Cause: one request refused for its rate ended the comparison of direct and proxied latency. Ruled out: measuring the refused request (its latency is not the proxy's work). Change: a pair whose proxied request was not run is counted and left out, after the told delay. Conclusion: only pairs that ran on both ways are compared.

--- a/src/standins/jackdawvane-load/direct_run.cpp
+++ b/src/standins/jackdawvane-load/direct_run.cpp
@@ -3,6 +3,7 @@
 #include "jackdawvane/backend.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <stdexcept>
 #include <vector>
 
@@ -59,7 +60,8 @@
         co_return taken;
     }
 
-    awaitable<steady_clock::duration> ask_proxy() {
+    /// @return the time taken, or nothing when the request was not run
+    awaitable<std::optional<steady_clock::duration>> ask_proxy() {
         caller_call call;
         call.target = "/v1/routes/" + settings_.route.str();
         call.key = settings_.key;
@@ -71,6 +73,10 @@
         const auto started = steady_clock::now();
         const auto reply = co_await send_call(vm_, std::move(call));
         const auto taken = steady_clock::now() - started;
+        if (reply.result == outcome::not_run && reply.retry_after) {
+            co_await sleep_for(*reply.retry_after);
+            co_return std::nullopt;
+        }
         if (!reply.succeeded()) {
             throw std::runtime_error{"the proxy answered " + reply.message};
         }
@@ -104,6 +110,7 @@
     latency_histogram direct;
     latency_histogram proxied;
     std::vector<double> added;
+    Json::UInt64 refused{0};
     for (std::uint32_t pair = 0; pair < settings.warm_up + settings.pairs; ++pair) {
         // The order alternates, so that neither way profits from the other.
         const bool direct_first = pair % 2 == 0;
@@ -115,15 +122,17 @@
         if (!direct_first) {
             by_backend = co_await ways.ask_backend();
         }
-        if (pair < settings.warm_up) {
+        refused += by_proxy ? 0U : 1U;
+        if (pair < settings.warm_up || !by_proxy) {
             continue;
         }
         direct.add(by_backend);
-        proxied.add(by_proxy);
-        added.push_back(to_us(by_proxy - by_backend));
+        proxied.add(*by_proxy);
+        added.push_back(to_us(*by_proxy - by_backend));
     }
     std::sort(added.begin(), added.end());
     Json::Value json;
+    json["refused"] = refused;
     json["latency"]["direct"] = direct.summary();
     json["latency"]["proxied"] = proxied.summary();
     if (!added.empty()) {
