Deliver messages of a VM to itself, and give each bench its own addresses

Cause: a VM that owns two backend servers of one group addresses reports to itself, and two benches on one machine met on one store. Ruled out: a socket to itself, since the order of events would depend on it.

--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include <algorithm>
+#include <functional>
 #include <set>
 
 #include "node_impl.hpp"
@@ -70,10 +71,32 @@
 
 void node_impl::handle(time_point now, const event& what, actions& out) {
     now_ = now;
+    const auto first_new = out.size();
     check_pause(now, out);
     std::visit([&](const auto& body) { on(now, body, out); }, what);
     run_due(now, out);
     settle(now, out);
+    while (take_own_messages(first_new, out)) {
+        for (auto& message : std::exchange(own_messages_, {})) {
+            on(now, message, out);
+        }
+        settle(now, out);
+    }
+}
+
+bool node_impl::take_own_messages(std::size_t first, actions& out) {
+    const auto is_own = [this](const action& entry) {
+        const auto* sent = std::get_if<send_to_peer>(&entry);
+        return sent != nullptr && sent->vm == settings_.self.vm;
+    };
+    const auto begin = out.begin() + static_cast<std::ptrdiff_t>(first);
+    const auto own = std::stable_partition(begin, out.end(), std::not_fn(is_own));
+    for (auto it = own; it != out.end(); ++it) {
+        own_messages_.push_back(peer_received{settings_.self.vm, settings_.incarnation,
+                                              std::move(std::get<send_to_peer>(*it).message)});
+    }
+    out.erase(own, out.end());
+    return !own_messages_.empty();
 }
 
 void node_impl::check_pause(time_point now, actions& out) {
--- a/src/core/node_impl.hpp
+++ b/src/core/node_impl.hpp
@@ -59,6 +59,9 @@
     template <class Message>
     void receive(time_point now, const peer_received& from, const Message& message, actions& out);
 
+    /// Moves messages from this VM to itself out of the actions from @a first on.
+    /// @return whether there were any
+    bool take_own_messages(std::size_t first, actions& out);
     void check_pause(time_point now, actions& out);
     void run_due(time_point now, actions& out);
     void settle(time_point now, actions& out);
@@ -102,6 +105,7 @@
     request_executor executor_;
     std::map<group_id, group_summary> groups_; ///< Last known primary of each group.
     std::deque<owner_request> local_;          ///< Requests for backend servers owned here.
+    std::vector<peer_received> own_messages_;  ///< Messages between parts of this VM.
     std::vector<vm_entry> fleet_;              ///< Live VMs at the last change.
     std::uint64_t fleet_version_{0};
     revision applied_revision_;
--- a/src/core/owned_backends.cpp
+++ b/src/core/owned_backends.cpp
@@ -185,18 +185,16 @@
 }
 
 void owned_backends::on_report(time_point now, const group_report& report, actions& out) {
-    for (auto& [backend, which] : owned_) {
-        if (which.group == report.group) {
-            which.monitor->on_report(now, report, out);
-            which.requests->on_view_change(now, out);
-        }
-    }
-    for (auto& which : retired_) {
-        if (which.group == report.group) {
+    first_that([&](owned& which) {
+        // A monitor knows its own backend server better than a report does.
+        const bool concerned = which.group == report.group &&
+                               which.monitor->watched().backend != report.report.backend;
+        if (concerned) {
             which.monitor->on_report(now, report, out);
             which.requests->on_view_change(now, out);
         }
-    }
+        return false;
+    });
     collect_replies();
 }
 
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -15,11 +15,11 @@
 class Bench:
     """A fleet in a folder that is taken down at the end, also after an error."""
 
-    def __init__(self, folder, user='quetzal', vms=9, lag_ms=50, link=True,
+    def __init__(self, folder, user='quetzal', vms=9, lag_ms=50, link=True, net=None,
                  build=ROOT / 'build'):
         self.folder = pathlib.Path(folder)
         self.build = pathlib.Path(build)
-        self.options = argparse.Namespace(user=user, vms=vms, lag_ms=lag_ms, no_link=not link,
+        self.options = argparse.Namespace(user=user, vms=vms, lag_ms=lag_ms, no_link=not link, net=net,
                                           no_daemons=False, build=str(build))
         self.fleet = fleet.Fleet(folder)
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -2,7 +2,7 @@
 """Starts a bench on loopback: stand-ins, network relay and entry daemons of one user.
 
 usage: tools/fleet.py up FOLDER [--user quetzal|kyushu] [--vms N] [--lag-ms MS] [--no-link]
-                                [--no-daemons] [--build DIR]
+                                [--no-daemons] [--build DIR] [--net 127.N]
        tools/fleet.py down FOLDER
        tools/fleet.py status FOLDER
        tools/fleet.py kill|restart|freeze|thaw|stop FOLDER PROCESS
@@ -105,12 +105,13 @@
     # -- description of the bench
 
     def describe(self, options):
-        user = USERS[options.user]
+        user = dict(USERS[options.user])
+        user['net'] = options.net or user['net']
         self.build = pathlib.Path(options.build).resolve()
         self.user, self.link = user, not options.no_link
         self.relays, self.backends, self.vms = [], [], []
-        self.state = dict(user=options.user, processes={}, link=f'127.0.0.1:{CONTROL_PORT}',
-                          load=f'127.0.0.1:{LOAD_PORT}')
+        self.state = dict(user=options.user, processes={}, link=f'{user["net"]}.250.1:{CONTROL_PORT}',
+                          load=f'{user["net"]}.250.1:{LOAD_PORT}')
         store = self.endpoint(9, 1, STORE_PORT)
         self.state['store'] = store[0]
         self.add('store', 'jackdawvane-platform', dict(listen=store[0], list_lag_ms=1000),
@@ -359,6 +360,7 @@
             command.add_argument('--user', choices=USERS, default='quetzal')
             command.add_argument('--vms', type=int, default=9)
             command.add_argument('--lag-ms', type=int, default=50)
+            command.add_argument('--net', help='first two numbers of all addresses')
             command.add_argument('--no-link', action='store_true')
             command.add_argument('--no-daemons', action='store_true')
             command.add_argument('--build', default=pathlib.Path(__file__).parent / '../build')
--- a/tools/process-test.py
+++ b/tools/process-test.py
@@ -158,7 +158,7 @@
 def run(name):
     inject, undo = CASES[name]
     with tempfile.TemporaryDirectory(prefix='jackdawvane-') as folder:
-        with Bench(pathlib.Path(folder)) as bench:
+        with Bench(pathlib.Path(folder), net='127.3') as bench:
             results = bench.load(duration_ms=LOAD_MS, faults=[
                 (FAULT_AT, lambda: inject(bench)), (HEAL_AT, lambda: undo(bench))])
             found = problems_of(bench, results)
