--- a/tests/core/rate_limiter_test.cpp
+++ b/tests/core/rate_limiter_test.cpp
@@ -88,6 +88,26 @@
     }
 }
 
+/// Guards against a late grant that is used because it comes before the overdue tick.
+TEST_F(RateLimiter, LateGrantIsNotUsedBeforeTheTickEither) {
+    request_id asked;
+    fleet.message_fate = [&](const peer_message& message) {
+        if (const auto* request = std::get_if<token_request>(&message)) {
+            asked = request->id;
+        }
+        return limiter_fleet::fate{};
+    };
+    EXPECT_EQ(fleet.request(*others[0]), admission_state::pending);
+    fleet.now += from_milliseconds(151);
+    for (const auto* donor : holders) {
+        fleet.on(*others[0], [&](actions& out) {
+            others[0]->limiter->on_peer(fleet.now, donor->entry.vm,
+                                        token_grant{asked, fleet.organisation, 1, 0}, out);
+        });
+    }
+    EXPECT_EQ(admitted, 0);
+}
+
 /// Guards against a message storm by an organisation that sends several times its rate.
 TEST_F(RateLimiter, OverloadCausesFewMessages) {
     constexpr int length = 20;
