Keep the keys of two load runs apart

Cause: a second run on the same bench read the values of the first run and reported 87 violations "holds a value that was never written". Ruled out: a fault of the proxy (the reported keys had values of the earlier run's sessions). Change: session names, and with them the keys, carry the run's name. Conclusion: runs on one bench are independent.

--- a/src/standins/jackdawvane-load/load_run.cpp
+++ b/src/standins/jackdawvane-load/load_run.cpp
@@ -75,7 +75,9 @@
         // The longest idle session comes next, so that each pauses for the think time.
         if (sessions < base || (idle.empty() && sessions < limit)) {
             const auto& key = organisation.keys.at(sessions % organisation.keys.size());
-            const auto name = organisation.id.str() + "-" + std::to_string(++sessions);
+            // The run's name keeps the keys of two runs on one bench apart.
+            const auto name =
+                organisation.id.str() + "-" + context_.run + "-" + std::to_string(++sessions);
             idle.push_front(std::make_unique<load_session>(context_, organisation, name, key));
         }
         if (idle.empty()) {
