Stop the daemons of a bench before the stand-ins

Cause: with all processes told to stop at once, none of 9 daemons ended within 10 s and all were killed. Ruled out: a daemon that cannot stop at all (with store and backend servers up it ends in about a second). Change: tools/fleet.py down ends the daemons first. Conclusion: whether a daemon without store and backend servers stops within its drain timeout of 30 s was not measured.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -264,7 +264,13 @@
                     time.sleep(0.05)
 
     def down(self, _options):
-        running = [name for name in self.state.get('processes', {}) if self.alive(name)]
+        # The daemons stop first: a graceful stop returns shares to the store.
+        names = self.state.get('processes', {})
+        self.end([name for name in names if name.startswith('vm-')])
+        self.end([name for name in names if not name.startswith('vm-')])
+
+    def end(self, names):
+        running = [name for name in names if self.alive(name)]
         for name in running:
             self.signal(name, signal.SIGCONT)
             self.signal(name, signal.SIGTERM)
