Initialise log4cplus once per process

Cause: the second daemon of one process, as in the tests when they run together, failed with "Operation not permitted": log4cplus cannot be initialised again after its end. Ruled out: the daemon's own order of destruction; the test passes alone. Change: one initialiser for the life of the process. Conclusion: both tests of the daemon pass in one process, where one failed before. jackdawvaned with the real node starts, answers /healthz 200, /readyz 503 and a request with no_configuration, and exits with 0 on SIGTERM.

--- a/src/adapters/decision_logger.cpp
+++ b/src/adapters/decision_logger.cpp
@@ -42,12 +42,13 @@
 } // namespace
 
 struct decision_logger::backend {
-    log4cplus::Initializer initializer;
     log4cplus::Logger logger{log4cplus::Logger::getInstance("jackdawvane")};
 };
 
-decision_logger::decision_logger(const log_settings& settings)
-    : backend_{std::make_unique<backend>()} {
+decision_logger::decision_logger(const log_settings& settings) {
+    // log4cplus cannot be initialised a second time after its end.
+    static const log4cplus::Initializer initializer;
+    backend_ = std::make_unique<backend>();
     backend_->logger.setAdditivity(false);
     backend_->logger.setLogLevel(to_log4cplus(settings.level));
     backend_->logger.removeAllAppenders();
