Measure several deaths in the membership study

Cause: one death per fleet says little about the detection time, which depends on when somebody probes the dead VM.

Change: the study kills five VMs one after the other and prints mean and longest times.

--- a/tests/studies/membership_study.cpp
+++ b/tests/studies/membership_study.cpp
@@ -17,6 +17,47 @@
     return static_cast<double>(value.count()) / 1e6;
 }
 
+struct detection {
+    duration first{0};
+    duration everywhere{0};
+};
+
+detection detect_death(membership_fleet& fleet, membership_fleet::node& victim) {
+    victim.up = false;
+    const auto begin = fleet.now;
+    fleet.time_until(seconds{60}, [&] {
+        return std::any_of(fleet.nodes.begin(), fleet.nodes.end(), [&](const auto& node) {
+            return node->up && !membership_fleet::view(*node, victim.entry.vm);
+        });
+    });
+    const auto first = fleet.now - begin;
+    fleet.time_until(seconds{60}, [&] { return fleet.all_view(victim, std::nullopt); });
+    return {first, fleet.now - begin};
+}
+
+/// Kills VMs one after the other, then adds one.
+void measure_changes(membership_fleet& fleet, std::size_t size) {
+    constexpr std::size_t deaths = 5;
+    detection sum;
+    detection longest;
+    for (std::size_t i = 0; i < deaths; ++i) {
+        const auto found = detect_death(fleet, fleet.of(i * size / deaths));
+        sum = {sum.first + found.first, sum.everywhere + found.everywhere};
+        longest = {std::max(longest.first, found.first),
+                   std::max(longest.everywhere, found.everywhere)};
+        fleet.run(seconds{3});
+    }
+    auto& fresh = fleet.add(size);
+    const auto join =
+        fleet.time_until(seconds{60}, [&] { return fleet.all_view(fresh, vm_state::live); });
+    std::cout << "  " << deaths << " deaths: first noticed after " << in_seconds(sum.first) / deaths
+              << " s (mean), " << in_seconds(longest.first) << " s (longest); known everywhere "
+              << in_seconds(sum.everywhere) / deaths << " s, " << in_seconds(longest.everywhere)
+              << " s\n  new VM known everywhere: " << in_seconds(join)
+              << " s; largest datagram with headers " << fleet.largest_datagram
+              << " B; suspicions raised " << fleet.suspicions << std::endl;
+}
+
 void study(std::size_t size) {
     membership_fleet fleet{size, failure_domains, seed};
     fleet.run(seconds{30});
@@ -43,23 +84,7 @@
               << " B/s, CPU with harness " << 100 * cpu / node_seconds
               << "% of a core per node, store calls "
               << static_cast<double>(fleet.store_calls) / in_seconds(length) << "/s\n";
-    auto& victim = fleet.of(size / 2);
-    victim.up = false;
-    const auto first = fleet.time_until(seconds{60}, [&] {
-        return std::any_of(fleet.nodes.begin(), fleet.nodes.end(), [&](const auto& node) {
-            return node->up && !membership_fleet::view(*node, victim.entry.vm);
-        });
-    });
-    const auto rest =
-        fleet.time_until(seconds{60}, [&] { return fleet.all_view(victim, std::nullopt); });
-    auto& fresh = fleet.add(size);
-    const auto join =
-        fleet.time_until(seconds{60}, [&] { return fleet.all_view(fresh, vm_state::live); });
-    fleet.run(seconds{5});
-    std::cout << "  dead VM: first " << in_seconds(first) << " s, everywhere "
-              << in_seconds(first + rest) << " s; new VM known everywhere: " << in_seconds(join)
-              << " s; largest datagram " << fleet.largest_datagram << " B; settled "
-              << fleet.settled() << std::endl;
+    measure_changes(fleet, size);
 }
 
 } // namespace
