Answer unknown to a repeated commit whose first try may have run

Cause: a commit of a transaction that its owner does not know was told "not run", also when an earlier commit of it had run and its answer was lost. Ruled out: running the commit's statements again under its name, since the owner does not keep them. Change: unknown, unless the owner remembers that it rolled the transaction back; the last 1000 rollbacks per backend server are remembered.

--- a/include/jackdawvane/backend_owner.hpp
+++ b/include/jackdawvane/backend_owner.hpp
@@ -122,6 +122,7 @@
     bool dispatch_queued(time_point now, actions& out);
     void enqueue(time_point now, owner_request job, actions& out);
     void submit_to_transaction(time_point now, owner_request job, actions& out);
+    void reply_unknown_transaction(time_point now, const owner_request& job);
     [[nodiscard]] std::optional<error> check_write(time_point now, const owner_request& job) const;
     /// @return false when the request was answered or parked instead
     bool check_before_run(time_point now, owner_request& job, actions& out);
@@ -165,6 +166,8 @@
     fair_queue<owner_request> queue_;
     std::map<connection_id, running_request> running_;
     std::map<transaction_id, pinned_transaction> transactions_;
+    /// Transactions that ended without a commit, the oldest first.
+    std::deque<transaction_id> rolled_back_;
     std::vector<waiting_write> waiting_writes_;
     std::vector<waiting_read> waiting_reads_;
     std::vector<owner_reply> replies_;
--- a/src/core/backend_owner.cpp
+++ b/src/core/backend_owner.cpp
@@ -97,7 +97,7 @@
     const bool known =
         found != transactions_.end() && found->second.organisation == job.request.organisation;
     if (!known) {
-        reply_problem(now, job, outcome::not_run, error{error_kind::unknown_transaction, {}, {}});
+        reply_unknown_transaction(now, job);
         return;
     }
     job.request.mode = found->second.mode;
@@ -106,6 +106,15 @@
     dispatch(now, out);
 }
 
+void backend_owner::reply_unknown_transaction(time_point now, const owner_request& job) {
+    // A repeated commit must not be told "not run" when the first one may have run.
+    const bool surely_ended = std::find(rolled_back_.begin(), rolled_back_.end(),
+                                        job.request.transaction) != rolled_back_.end();
+    const bool may_have_run = job.request.kind == request_kind::commit && !surely_ended;
+    reply_problem(now, job, may_have_run ? outcome::unknown : outcome::not_run,
+                  error{error_kind::unknown_transaction, {}, {}});
+}
+
 std::optional<error> backend_owner::check_write(time_point now, const owner_request& job) const {
     const auto& view = monitor_.view();
     if (!is_primary()) {
--- a/src/core/backend_owner_completion.cpp
+++ b/src/core/backend_owner_completion.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Transactions whose rollback is remembered, so that a late commit is told that it did not run.
+constexpr std::size_t remembered_rollbacks = 1000;
+
 /// Whether a request may have changed data once it was sent to a backend server.
 bool may_change_data(const forward_request& request) {
     const bool applies =
@@ -244,6 +247,10 @@
     }
     for (const auto& id : expired) {
         log(out, "queue", log_level::info, "rolled back an idle transaction at " + backend_.str());
+        rolled_back_.push_back(id);
+        if (rolled_back_.size() > remembered_rollbacks) {
+            rolled_back_.pop_front();
+        }
         end_transaction(now, id, false, out);
     }
 }
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -20,8 +20,8 @@
     error_text{error_kind::unknown_route, "unknown_route",
                "use a route from the routes table, or add it with jackdawvanectl apply"},
     error_text{error_kind::unknown_transaction, "unknown_transaction",
-               "the transaction has ended and was rolled back unless commit was answered; "
-               "begin a new one"},
+               "the transaction has ended; after outcome unknown check the data, else begin a new "
+               "one"},
     error_text{error_kind::missing_key, "missing_key",
                "send the organisation's key as Authorization: Bearer KEY"},
     error_text{error_kind::unknown_key, "unknown_key",
--- a/src/core/owned_backends.cpp
+++ b/src/core/owned_backends.cpp
@@ -135,6 +135,8 @@
     forward_reply reply;
     reply.id = request.request.id;
     const bool follow_up = !request.request.transaction.empty();
+    const bool may_have_run = request.request.kind == request_kind::commit;
+    reply.result = may_have_run ? outcome::unknown : outcome::not_run;
     reply.problem = error{follow_up ? error_kind::unknown_transaction : error_kind::wrong_owner,
                           request.request.backend.str() + " is not owned here", duration{0}};
     replies_.push_back({std::move(request.from), std::move(reply)});
--- a/src/core/request_executor.cpp
+++ b/src/core/request_executor.cpp
@@ -113,8 +113,10 @@
         }
     }
     if (r.pinned) {
-        refuse(r, outcome::not_run, error{error_kind::unknown_transaction, "its VM is gone", {}},
-               out);
+        // An earlier commit of the same transaction may have run at the VM that is gone.
+        const bool may_have_run = r.request.kind == request_kind::commit;
+        refuse(r, may_have_run ? outcome::unknown : outcome::not_run,
+               error{error_kind::unknown_transaction, "its VM is gone", {}}, out);
         return;
     }
     retry_later(now, r, out);
--- a/tests/core/backend_owner_test.cpp
+++ b/tests/core/backend_owner_test.cpp
@@ -306,6 +306,23 @@
     EXPECT_TRUE(owner_.idle());
 }
 
+/// Guards against "not run" for a repeated commit whose first try may have run, and against
+/// "unknown" for a commit that comes after the rollback.
+TEST_F(BackendOwner, CommitOfAnEndedTransactionTellsWhatIsKnown) {
+    auto commit = make(request_kind::commit, access_mode::write);
+    commit.transaction = begin(access_mode::write);
+    submit(commit);
+    serve_all();
+    auto repeated = make(request_kind::commit, access_mode::write);
+    repeated.transaction = commit.transaction;
+    EXPECT_EQ(replies_[submit(repeated)].result, outcome::unknown);
+
+    auto late = make(request_kind::commit, access_mode::write);
+    late.transaction = begin(access_mode::write);
+    run_for(5100);
+    EXPECT_EQ(replies_[submit(late)].result, outcome::not_run);
+}
+
 /// Guards against a read of an older state than the session has seen.
 TEST_F(BackendOwner, ReadWaitsForItsPositionAndThenGoesElsewhere) {
     auto request = make(request_kind::single, access_mode::read);
