--- a/tests/core/backend_owner_test.cpp
+++ b/tests/core/backend_owner_test.cpp
@@ -313,6 +313,77 @@
     EXPECT_EQ(replies_[id].result, outcome::not_run);
 }
 
+/// Guards against a read whose answer comes from an older state than the session has seen, because
+/// the backend server changed its log after the owner's check.
+TEST_F(BackendOwner, ReadAnswerFromAnOlderStateIsNotGiven) {
+    auto request = make(request_kind::single, access_mode::read);
+    const auto& present = server_.status;
+    request.session = {{group_id{"g"}, present.last_entry_term, present.position}};
+    const auto id = submit(request);
+    for (int i = 0; i < 5 && data_in_hand() == 0; ++i) {
+        step();
+    }
+    ASSERT_EQ(data_in_hand(), 1U);
+    const auto sent = server_.received.back();
+    auto older = server_.answer(sent.request);
+    older.status.position = log_position{present.position.value() - 1};
+    owner_.on_answer(now_, sent.connection, older, out_);
+    collect();
+    EXPECT_FALSE(replies_.contains(id));
+}
+
+/// Guards against a read with a maximum age that runs although the age of the data is not known.
+TEST_F(BackendOwner, ReadOfUnprovedAgeIsNotRun) {
+    auto request = make(request_kind::single, access_mode::read);
+    request.max_staleness = from_milliseconds(500);
+    now_ += std::chrono::seconds{3};
+    const auto id = submit(request);
+    EXPECT_EQ(replies_[id].problem.kind, error_kind::staleness_unproved);
+}
+
+/// Guards against a write that is acknowledged before a majority of the group has it.
+TEST_F(BackendOwner, WriteWithoutAMajorityIsUnknownAtItsDeadline) {
+    const auto id = submit(make(request_kind::single, access_mode::write), 300);
+    for (int i = 0; i < 5 && data_in_hand() == 0; ++i) {
+        step();
+    }
+    group_row group;
+    group.backend_servers = {
+        {backend_, row_}, {backend_server_id{"b2"}, {}}, {backend_server_id{"b3"}, {}}};
+    monitor_.configure(group, {});
+    exchange(is_data);
+    EXPECT_EQ(server_.executed["n" + std::to_string(id)], 1);
+    EXPECT_FALSE(replies_.contains(id));
+    run_for(300);
+    EXPECT_EQ(replies_[id].result, outcome::unknown);
+}
+
+/// Guards against a write that runs in a term for which the owner has not seen a primary.
+TEST_F(BackendOwner, WriteCarriesTheTermOfTheKnownPrimary) {
+    submit(make(request_kind::single, access_mode::read));
+    serve_all(); // Opens a connection.
+    server_.status.accepted_term = server_.status.accepted_term.next();
+    monitor_.on_status(now_, server_.status, now_, out_);
+    const auto id = submit(make(request_kind::single, access_mode::write));
+    exchange(is_data);
+    EXPECT_EQ(replies_[id].problem.kind, error_kind::fenced);
+    EXPECT_EQ(replies_[id].result, outcome::not_run);
+}
+
+/// Guards against a queued request that runs, or stays without an answer, after its deadline.
+TEST_F(BackendOwner, QueuedRequestIsNotRunAtItsDeadline) {
+    for (std::uint32_t i = 0; i < slots; ++i) {
+        submit(make(request_kind::single, access_mode::read));
+    }
+    run_for(5);
+    const auto id = submit(make(request_kind::single, access_mode::write), 50);
+    run_for(50);
+    ASSERT_TRUE(replies_.contains(id));
+    EXPECT_EQ(replies_[id].result, outcome::not_run);
+    serve_all();
+    EXPECT_EQ(server_.executed.count("n" + std::to_string(id)), 0U);
+}
+
 /// Guards against queued requests that are lost or run after the backend server changed hands.
 TEST_F(BackendOwner, RetireHandsBackTheQueueAndFinishesWhatRuns) {
     std::vector<std::uint64_t> ids;
--- a/tests/core/membership_test.cpp
+++ b/tests/core/membership_test.cpp
@@ -72,6 +72,11 @@
 void add_unlisted(membership_fleet& fleet) {
     fleet.add(size);
 }
+void kill_never_listed(membership_fleet& fleet) {
+    add_unlisted(fleet);
+    fleet.run(seconds{5});
+    fleet.nodes.back()->up = false;
+}
 void add_listed_but_silent(membership_fleet& fleet) {
     fleet.change_list([&](auto& list) { list.push_back(fleet.entry_for(size)); });
 }
@@ -100,6 +105,8 @@
                     [](const auto& f) { return f.settled() && gone_everywhere(f, 0); }, seconds{5}},
         change_case{"dead_but_listed_is_not_gone", kill,
                     [](const auto& f) { return f.settled() && gone_everywhere(f, 0); }, seconds{5}},
+        change_case{"dead_and_never_listed_is_not_gone", kill_never_listed,
+                    [](const auto& f) { return f.settled() && gone_everywhere(f, 0); }, seconds{5}},
         change_case{"incarnation_replaced", replace, replacement_known, seconds{2}},
         change_case{"not_listed_yet_but_heard", add_unlisted, settled, seconds{3}},
         change_case{"listed_but_never_heard", add_listed_but_silent, settled, seconds{3}},
--- a/tests/core/request_executor_test.cpp
+++ b/tests/core/request_executor_test.cpp
@@ -234,6 +234,16 @@
     EXPECT_EQ(decode_token(answer.session).value().at(0).position, log_position{9});
 }
 
+/// Guards against a read that does not tell the owner what its session has seen.
+TEST_F(RequestExecutor, SessionTravelsWithTheRead) {
+    auto request = lookup();
+    const session_position seen{group_id{"g"}, term{2}, log_position{7}};
+    request.session = encode_token({seen, {group_id{"other"}, term{1}, log_position{3}}});
+    executor_.on_caller(start, request, out_);
+    ASSERT_EQ(services_.forwarded.size(), 1U);
+    EXPECT_EQ(services_.forwarded[0].session, std::vector{seen});
+}
+
 /// Guards against a read that fails because one replica is behind or silent.
 TEST_F(RequestExecutor, ReadGoesOnToTheNextBackendServer) {
     executor_.on_caller(start, lookup(), out_);
