Read the daemon's own status keys in jackdawvanectl status

Cause: the command read the keys owned, backend, role and position, but the daemon reports backend_servers, backend_server, status.role and status.position; by the code, every server would show as "no owner answers". The test's stand-in had the same wrong keys. Change: the command and the stand-in use the daemon's keys; the mutation check builds with 4 jobs and reports a test that does not end. Conclusion: build and run jackdawvanectl_test next.

--- a/src/programs/jackdawvanectl/fleet_commands.cpp
+++ b/src/programs/jackdawvanectl/fleet_commands.cpp
@@ -20,8 +20,8 @@
 
 std::map<std::string, backend_line> backends_in(const vm_entry& vm, const Json::Value& status) {
     std::map<std::string, backend_line> lines;
-    for (const auto& report : status["owned"]) {
-        lines[report["backend"].asString()] = {vm.vm.str(), report};
+    for (const auto& report : status["backend_servers"]) {
+        lines[report["backend_server"].asString()] = {vm.vm.str(), report};
     }
     return lines;
 }
@@ -31,7 +31,8 @@
     std::uint64_t highest{0};
     for (const auto& [id, row] : group.backend_servers) {
         if (const auto found = lines.find(id.str()); found != lines.end()) {
-            highest = std::max<std::uint64_t>(highest, found->second.report["position"].asUInt64());
+            highest = std::max<std::uint64_t>(
+                highest, found->second.report["status"]["position"].asUInt64());
         }
     }
     return highest;
@@ -49,10 +50,11 @@
             continue;
         }
         const auto& report = found->second.report;
-        const auto position = report["position"].asUInt64();
-        out << report["role"].asString() << ", term " << report["term"].asUInt64() << ", position "
-            << position << ", lag " << highest - position << ", owner " << found->second.owner
-            << (report["reachable"].asBool() ? "" : ", not reachable") << '\n';
+        const auto position = report["status"]["position"].asUInt64();
+        out << report["status"]["role"].asString() << ", term " << report["term"].asUInt64()
+            << ", position " << position << ", lag " << highest - position << ", owner "
+            << found->second.owner << (report["reachable"].asBool() ? "" : ", not reachable")
+            << '\n';
     }
 }
 
--- a/tests/adapters/jackdawvanectl_test.cpp
+++ b/tests/adapters/jackdawvanectl_test.cpp
@@ -65,8 +65,9 @@
     }
     std::optional<std::string> answer_to(const http::request<http::string_body>& request) {
         if (request.target() == "/admin/status") {
-            return R"({"revision":1,"owned":[{"backend":"b1","role":"primary","term":3,)"
-                   R"("position":9,"reachable":true}]})";
+            // The keys are those of the daemon: node_impl, owned_backends and backend_owner.
+            return R"({"revision":1,"backend_servers":[{"backend_server":"b1","term":3,)"
+                   R"("reachable":true,"status":{"role":"primary","position":9}}]})";
         }
         const auto call = from_json<store_request>(parse_json(request.body()).value()).value();
         store_answer answer{call.id, store_status::ok, value, version, vms};
--- a/tools/mutation-check.py
+++ b/tools/mutation-check.py
@@ -15,6 +15,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 WORK = ROOT / "build-mutation"
+PARALLEL_JOBS = "4"  # Most entries change one file; more jobs only slow others down.
 SOURCES = ["CMakeLists.txt", "include", "src", "tests"]
 
 
@@ -50,11 +51,15 @@
     path.write_text(original.replace(entry["from"], entry["to"]))
     try:
         build = WORK / "build"
-        built = run(["cmake", "--build", str(build), "--target", entry["target"]])
+        built = run(["cmake", "--build", str(build), "--target", entry["target"],
+                     "--parallel", PARALLEL_JOBS])
         if built.returncode != 0:
             return "build failed:\n" + built.stdout[-2000:]
         binary = build / "tests" / entry["target"]
-        tested = run([str(binary), "--gtest_filter=" + entry["filter"]], timeout=300)
+        try:
+            tested = run([str(binary), "--gtest_filter=" + entry["filter"]], timeout=300)
+        except subprocess.TimeoutExpired:
+            return "the test did not end within 300 s"
         if "[==========] 0 tests" in tested.stdout:
             return "the filter selects no test"
         if tested.returncode == 0:
