--- a/tests/core/backend_owner_test.cpp
+++ b/tests/core/backend_owner_test.cpp
@@ -147,6 +147,14 @@
                           [](const auto& sent) { return is_data(sent.request); }));
     }
 
+    /// The last data request in hand; status requests may have been sent after it.
+    send_to_backend last_data() {
+        EXPECT_GT(data_in_hand(), 0U);
+        const auto found = std::find_if(server_.received.rbegin(), server_.received.rend(),
+                                        [](const auto& sent) { return is_data(sent.request); });
+        return found == server_.received.rend() ? send_to_backend{} : *found;
+    }
+
     const backend_server_id backend_{"b1"};
     time_point now_{std::chrono::seconds{100}};
     random_engine random_{7};
@@ -223,7 +231,7 @@
 /// that is used again while its state is in doubt.
 TEST_P(Doubt, LostConnection) {
     const auto id = send_one();
-    const auto sent = server_.received.back();
+    const auto sent = last_data();
     owner_.on_disconnected(now_, sent.connection, out_);
     collect();
     ASSERT_TRUE(replies_.contains(id));
@@ -232,7 +240,7 @@
 
 TEST_P(Doubt, SilentConnection) {
     const auto id = send_one();
-    const auto sent = server_.received.back();
+    const auto sent = last_data();
     run_for(500);
     ASSERT_TRUE(replies_.contains(id));
     EXPECT_EQ(replies_[id].result, GetParam().expected);
@@ -241,7 +249,7 @@
 
 TEST_P(Doubt, CrossedAnswer) {
     const auto id = send_one();
-    const auto sent = server_.received.back();
+    const auto sent = last_data();
     auto crossed = server_.answer(sent.request);
     crossed.id = request_id{999999};
     owner_.on_answer(now_, sent.connection, crossed, out_);
@@ -269,7 +277,7 @@
     statements.transaction = transaction;
     submit(statements);
     server_.take(out_);
-    const auto pinned = server_.received.back().connection;
+    const auto pinned = last_data().connection;
     serve_all();
     for (int i = 0; i < 10; ++i) {
         submit(make(request_kind::single, access_mode::read));
@@ -324,7 +332,7 @@
         step();
     }
     ASSERT_EQ(data_in_hand(), 1U);
-    const auto sent = server_.received.back();
+    const auto sent = last_data();
     auto older = server_.answer(sent.request);
     older.status.position = log_position{present.position.value() - 1};
     owner_.on_answer(now_, sent.connection, older, out_);
--- a/tools/mutation-check.py
+++ b/tools/mutation-check.py
@@ -3,7 +3,7 @@
 
 Reads tests/mutations/*.json. Each entry disables one mechanism by a text replacement in a copy of
 the sources, builds the named test there and expects it to fail. An entry whose text is not found,
-whose build fails or whose test still passes is an error.
+whose build fails, whose test still passes or whose test fails on the unchanged sources is an error.
 
 usage: tools/mutation-check.py [NAME...]
 """
@@ -16,6 +16,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 WORK = ROOT / "build-mutation"
 PARALLEL_JOBS = "4"  # Most entries change one file; more jobs only slow others down.
+TEST_SECONDS = 300
 SOURCES = ["CMakeLists.txt", "include", "src", "tests"]
 
 
@@ -43,6 +44,29 @@
     return target
 
 
+def build(targets):
+    return run(["cmake", "--build", str(WORK / "build"), "--parallel", PARALLEL_JOBS, "--target",
+                *targets])
+
+
+def run_test(entry):
+    """Result of the entry's test, or None when it does not end."""
+    binary = WORK / "build" / "tests" / entry["target"]
+    try:
+        return run([str(binary), "--gtest_filter=" + entry["filter"]], timeout=TEST_SECONDS)
+    except subprocess.TimeoutExpired:
+        return None
+
+
+def failing_unchanged(entries):
+    """Names of the entries whose test fails with its mechanism, which would prove nothing."""
+    built = build(sorted({entry["target"] for entry in entries}))
+    if built.returncode != 0:
+        sys.exit("build failed:\n" + built.stdout[-2000:])
+    results = [(entry["name"], run_test(entry)) for entry in entries]
+    return [name for name, tested in results if tested is None or tested.returncode != 0]
+
+
 def check(tree, entry):
     path = tree / entry["file"]
     original = path.read_text()
@@ -50,16 +74,12 @@
         return "text to replace found %d times" % original.count(entry["from"])
     path.write_text(original.replace(entry["from"], entry["to"]))
     try:
-        build = WORK / "build"
-        built = run(["cmake", "--build", str(build), "--target", entry["target"],
-                     "--parallel", PARALLEL_JOBS])
+        built = build([entry["target"]])
         if built.returncode != 0:
             return "build failed:\n" + built.stdout[-2000:]
-        binary = build / "tests" / entry["target"]
-        try:
-            tested = run([str(binary), "--gtest_filter=" + entry["filter"]], timeout=300)
-        except subprocess.TimeoutExpired:
-            return "the test did not end within 300 s"
+        tested = run_test(entry)
+        if tested is None:
+            return "the test did not end within %d s" % TEST_SECONDS
         if "[==========] 0 tests" in tested.stdout:
             return "the filter selects no test"
         if tested.returncode == 0:
@@ -85,6 +105,9 @@
         sys.exit(configured.stderr)
     bad = 0
     chosen = [entry for entry in entries if not names or entry["name"] in names]
+    for name in failing_unchanged(chosen):
+        bad += 1
+        print("PROBLEM: the test of %s fails with the mechanism in place" % name, flush=True)
     for number, entry in enumerate(chosen, 1):
         print("[%d/%d] %s: %s" % (number, len(chosen), entry["name"], entry["disables"]), flush=True)
         problem = check(tree, entry)
