--- a/tools/test.sh
+++ b/tools/test.sh
@@ -2,14 +2,14 @@
 # Installs the dependencies, builds and runs every check and test.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-echo '[1/5] dependencies'
+echo '[1/6] dependencies'
 tools/install-dependencies.sh
-echo '[2/5] build'
+echo '[2/6] build'
 cmake -S . -B build -G Ninja >/dev/null
 cmake --build build
-echo '[3/5] formatter, layering, linter'
+echo '[3/6] formatter, layering, linter'
 tools/check-code.sh --tidy
-echo '[4/5] tests'
+echo '[4/6] tests'
 # A known failing test is listed in KNOWN-RED.txt as "test: NAME"; it is skipped and printed.
 known=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' || true)
 exclude=()
@@ -18,7 +18,9 @@
     exclude=(-E "^($known)\$")
 fi
 ctest --test-dir build --output-on-failure --no-tests=error -j "$(nproc)" "${exclude[@]}"
-echo '[5/5] tests with address and undefined behaviour sanitizers'
+echo '[5/6] faults against the real binaries'
+tools/process-test.py
+echo '[6/6] tests with address and undefined behaviour sanitizers'
 cmake -S . -B build-sanitize -G Ninja -DJACKDAWVANE_SANITIZE=ON -DCMAKE_BUILD_TYPE=Debug >/dev/null
 cmake --build build-sanitize
 ctest --test-dir build-sanitize --output-on-failure --no-tests=error -j "$(nproc)" "${exclude[@]}"
