Measure heap memory and edits of large configurations

Ruled out: one process per size, which still reuses freed memory. Change: the study reads the heap in use, and times the application of an edit.

--- a/tests/studies/capacity_study.cpp
+++ b/tests/studies/capacity_study.cpp
@@ -12,6 +12,7 @@
 #include <iostream>
 
 #include "studies/capacity_fleet.hpp"
+#include <malloc.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -101,6 +102,12 @@
               << std::endl;
 }
 
+/// Heap memory in use, in bytes; unlike resident memory it does not depend on what was freed.
+double allocated() {
+    const auto heap = mallinfo2();
+    return static_cast<double>(heap.uordblks + heap.hblkhd);
+}
+
 template <class Work>
 double milliseconds_of(Work work) {
     const auto before = processor_time();
@@ -161,21 +168,29 @@
     const auto [small, pool] = edit_sizes(document);
     std::vector<configuration_document> kept;
     kept.reserve(copies);
-    const auto memory_before = resident();
+    const auto memory_before = allocated();
     const auto decoding = milliseconds_of([&] {
         for (int i = 0; i < copies; ++i) {
             kept.push_back(parse_document(text).value());
         }
     });
-    const auto memory = (resident() - memory_before) / copies;
+    const auto memory = (allocated() - memory_before) / copies;
     const auto encoding = milliseconds_of([&] { (void)write_json(to_json(document)); });
     std::cout << backends << " backend servers, " << document.pools.size()
               << " pools: " << text.size() << " B of JSON; edit of an organisation " << small
-              << " B, of a whole pool " << pool << " B; resident memory per decoded copy "
+              << " B, of a whole pool " << pool << " B; heap memory per decoded copy "
               << memory / 1024 << " KiB; decode " << decoding / copies << " ms, encode " << encoding
               << " ms";
     study_placement(document);
-    std::cout << std::endl;
+    const auto edit = edit_of("organisations", document.organisations.begin()->first.str(),
+                              to_json(document.organisations.begin()->second));
+    constexpr int rounds = 10;
+    const auto applying = milliseconds_of([&] {
+        for (int i = 0; i < rounds; ++i) {
+            (void)apply(document, edit);
+        }
+    });
+    std::cout << "; apply one edit " << applying / rounds << " ms" << std::endl;
 }
 
 /// Prints the bytes of @a message on the wire and the time to write, read and decode it.
