--- a/include/jackdawvane/backend_owner.hpp
+++ b/include/jackdawvane/backend_owner.hpp
@@ -135,7 +135,7 @@
 
     void complete(time_point now, connection_id connection, running_request done,
                   const backend_answer& answer, actions& out);
-    void complete_begin(time_point now, connection_id connection, owner_request job,
+    void complete_begin(time_point now, connection_id connection, const owner_request& job,
                         const backend_answer& answer, actions& out);
     void complete_write(time_point now, owner_request job, const backend_answer& answer,
                         actions& out);
--- a/src/core/backend_owner_completion.cpp
+++ b/src/core/backend_owner_completion.cpp
@@ -87,7 +87,7 @@
     const auto kind = job.request.kind;
     const bool failed = answer.problem.kind != error_kind::none;
     if (kind == request_kind::begin && !failed) {
-        complete_begin(now, connection, std::move(job), answer, out);
+        complete_begin(now, connection, job, answer, out);
         return;
     }
     if (done.transaction) {
@@ -121,8 +121,9 @@
     return limit && done.data_age + (now - done.sent) > *limit;
 }
 
-void backend_owner::complete_begin(time_point now, connection_id connection, owner_request job,
-                                   const backend_answer& answer, actions& out) {
+void backend_owner::complete_begin(time_point now, connection_id connection,
+                                   const owner_request& job, const backend_answer& answer,
+                                   actions& out) {
     const auto id = encode_transaction({settings_.self, settings_.incarnation, next_transaction_++,
                                         job.request.mode, group_, backend_});
     pinned_transaction opened;
