--- a/include/jackdawvane/owned_backends.hpp
+++ b/include/jackdawvane/owned_backends.hpp
@@ -65,6 +65,9 @@
     /// @brief What this VM knows about a group, if it owns a backend server of it.
     [[nodiscard]] std::optional<group_summary> summary(time_point now, const group_id& group) const;
 
+    /// @brief Groups whose primary this VM owns.
+    [[nodiscard]] std::vector<group_summary> own_primaries(time_point now) const;
+
     [[nodiscard]] Json::Value describe(time_point now) const;
 
   private:
--- a/include/jackdawvane/peer.hpp
+++ b/include/jackdawvane/peer.hpp
@@ -111,8 +111,10 @@
     }
 };
 
-/// @brief What a VM knows about a group; sent back with each forwarded request.
+/// @brief What a VM knows about a group; sent back with each forwarded request, and to all VMs by
+/// the owner of a new primary.
 struct group_summary {
+    static constexpr const char* method = "group.summary";
     group_id group;
     jackdawvane::term term;
     backend_server_id primary; ///< Empty while none is known.
@@ -320,7 +322,7 @@
 
 /// @brief Every message between VMs.
 using peer_message =
-    std::variant<group_report, forward_request, forward_reply, membership_probe,
+    std::variant<group_report, group_summary, forward_request, forward_reply, membership_probe,
                  configuration_announce, configuration_pull, configuration_difference,
                  token_request, token_grant, token_acknowledgement, share_request, share_notice>;
 
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -136,6 +136,7 @@
 void node_impl::settle(time_point now, actions& out) {
     follow_configuration(now, out);
     follow_fleet(now, out);
+    announce_primaries(now, out);
     bool progress = true;
     while (progress) {
         progress = deliver_admissions(now, out);
@@ -185,6 +186,23 @@
     }
 }
 
+void node_impl::announce_primaries(time_point now, actions& out) {
+    // Without this, an entry VM that owns no backend server of the group keeps sending writes to
+    // a cut-off primary, where they wait for their deadline.
+    for (const auto& summary : owned_.own_primaries(now)) {
+        auto& announced = announced_[summary.group];
+        if (summary.term <= announced) {
+            continue;
+        }
+        announced = summary.term;
+        for (const auto& vm : fleet_) {
+            if (vm.vm != settings_.self.vm) {
+                send(vm, summary, out);
+            }
+        }
+    }
+}
+
 bool node_impl::deliver_admissions(time_point now, actions& out) {
     const auto decisions = limiter_.take_decisions();
     for (const auto& decision : decisions) {
--- a/src/core/node_events.cpp
+++ b/src/core/node_events.cpp
@@ -57,6 +57,11 @@
     owned_.on_report(now, message, out);
 }
 
+void node_impl::receive(time_point /*now*/, const peer_received& /*from*/,
+                        const group_summary& message, actions& /*out*/) {
+    learn(message);
+}
+
 void node_impl::receive(time_point now, const peer_received& from, const forward_request& message,
                         actions& out) {
     owned_.submit(now, owner_request{message, from.from, now + message.remaining, now}, out);
--- a/src/core/node_impl.hpp
+++ b/src/core/node_impl.hpp
@@ -44,6 +44,8 @@
     // One overload per peer message that is not for the rate limiter.
     void receive(time_point now, const peer_received& from, const group_report& message,
                  actions& out);
+    void receive(time_point now, const peer_received& from, const group_summary& message,
+                 actions& out);
     void receive(time_point now, const peer_received& from, const forward_request& message,
                  actions& out);
     void receive(time_point now, const peer_received& from, const forward_reply& message,
@@ -67,6 +69,8 @@
     void settle(time_point now, actions& out);
     void follow_fleet(time_point now, actions& out);
     void follow_configuration(time_point now, actions& out);
+    /// Tells all VMs about primaries that this VM owns and that are new.
+    void announce_primaries(time_point now, actions& out);
     bool deliver_local(time_point now, actions& out);
     bool deliver_replies(time_point now, actions& out);
     bool deliver_admissions(time_point now, actions& out);
@@ -104,6 +108,7 @@
     owned_backends owned_;
     request_executor executor_;
     std::map<group_id, group_summary> groups_; ///< Last known primary of each group.
+    std::map<group_id, term> announced_;       ///< Terms whose primary was announced from here.
     std::deque<owner_request> local_;          ///< Requests for backend servers owned here.
     std::vector<peer_received> own_messages_;  ///< Messages between parts of this VM.
     std::vector<vm_entry> fleet_;              ///< Live VMs at the last change.
--- a/src/core/owned_backends.cpp
+++ b/src/core/owned_backends.cpp
@@ -265,6 +265,16 @@
     return std::nullopt;
 }
 
+std::vector<group_summary> owned_backends::own_primaries(time_point now) const {
+    std::vector<group_summary> groups;
+    for (const auto& [backend, which] : owned_) {
+        if (which.monitor->view().primary() == backend) {
+            groups.push_back(which.monitor->view().summary(now));
+        }
+    }
+    return groups;
+}
+
 Json::Value owned_backends::describe(time_point now) const {
     Json::Value json{Json::arrayValue};
     for (const auto& [backend, which] : owned_) {
--- a/src/core/report_exchange.cpp
+++ b/src/core/report_exchange.cpp
@@ -122,6 +122,8 @@
     made.report.reachable = view.reachable(own_);
     if (const auto* status = view.status(own_)) {
         made.report.status = *status;
+        // Only the owner compares sessions with the history; reports are most of the idle traffic.
+        made.report.status.history.clear();
         made.report.age = now - measured;
     }
     made.known_term = view.known_term();
