--- a/tests/core/promotion_test.cpp
+++ b/tests/core/promotion_test.cpp
@@ -148,6 +148,42 @@
     EXPECT_GT(won, 300);
 }
 
+/// Guards against a promotion by one acceptance while the other backend servers stay silent.
+TEST(Promotion, OneAcceptanceIsNotAMajority) {
+    id_sequence<connection_id> connections;
+    id_sequence<request_id> requests;
+    std::vector<promotion_member> members;
+    for (std::uint16_t i = 0; i < 3; ++i) {
+        members.push_back({backend_server_id{std::to_string(i)}, {"127.0.0.1", i}});
+    }
+    promotion tested{{group_id{"g"}, term{2}, 3, vm_id{"x"}}, members, {connections, requests}};
+    time_point now{std::chrono::seconds{1}};
+    std::map<backend_operation, int> asked;
+    actions out;
+    tested.start(now, out);
+    for (int step = 0; step < 1000; ++step) {
+        for (const auto& made : std::exchange(out, {})) {
+            if (const auto* open = std::get_if<open_connection>(&made)) {
+                tested.on_connected(now, open->connection, out);
+            }
+            const auto* sent = std::get_if<send_to_backend>(&made);
+            const bool first = sent != nullptr && asked[sent->request.operation]++ == 0;
+            if (first ||
+                (sent != nullptr && sent->request.operation == backend_operation::status)) {
+                backend_answer answer;
+                answer.id = sent->request.id;
+                answer.status.accepted_term = sent->request.expected_term;
+                tested.on_answer(now, sent->connection, answer, out);
+            }
+        }
+        now += from_milliseconds(1);
+        tested.tick(now, out);
+    }
+    EXPECT_EQ(asked[backend_operation::accept_term], 3);
+    EXPECT_EQ(asked[backend_operation::promote], 0);
+    EXPECT_EQ(tested.state(), promotion::progress::failed);
+}
+
 /// Guards against a report that was held up on its way and counts as fresh: its date is proved
 /// by what it hands back, not by the age that it states.
 TEST(ReportExchange, DateIsProvedOnTheReceiversClock) {
