--- a/tests/core/backend_owner_test.cpp
+++ b/tests/core/backend_owner_test.cpp
@@ -276,7 +276,6 @@
     auto statements = make(request_kind::statements, access_mode::write);
     statements.transaction = transaction;
     submit(statements);
-    server_.take(out_);
     const auto pinned = last_data().connection;
     serve_all();
     for (int i = 0; i < 10; ++i) {
