--- a/src/standins/jackdawvane-load/direct_run.cpp
+++ b/src/standins/jackdawvane-load/direct_run.cpp
@@ -138,6 +138,8 @@
     if (!added.empty()) {
         json["added"]["p50_us"] = quantile(added, 0.5);
         json["added"]["p95_us"] = quantile(added, 0.95);
+        json["added"]["p99_us"] = quantile(added, 0.99);
+        json["added"]["max_us"] = added.back();
     }
     for (const auto& [backend, count] : ways.served_by()) {
         json["served_by"][backend] = Json::UInt64{count};
