Apply a route's key rules to its open transactions, and check ids

Cause: statements and commits of an open transaction did not look up their route, so keys_when_isolated: refuse and a changed list of organisations did not apply to them. Ruled out: the owner checking the route, since the key is known at the entry only. Change: the transaction id carries the route; routes, groups and backend servers may only have letters, digits and -._ in their ids, because ids stand in URLs and transaction ids. Figures: two new table cases, isolated_follow_up_of_a_transaction and separator_in_id.

--- a/include/jackdawvane/transaction_handle.hpp
+++ b/include/jackdawvane/transaction_handle.hpp
@@ -16,6 +16,7 @@
     access_mode mode{access_mode::read};
     group_id group;
     backend_server_id backend;
+    route_name route; ///< Route that began it; its key rules apply to the follow-ups.
 
     friend bool operator==(const transaction_handle&, const transaction_handle&) = default;
 };
--- a/src/core/backend_owner_completion.cpp
+++ b/src/core/backend_owner_completion.cpp
@@ -125,7 +125,7 @@
                                    const owner_request& job, const backend_answer& answer,
                                    actions& out) {
     const auto id = encode_transaction({settings_.self, settings_.incarnation, next_transaction_++,
-                                        job.request.mode, group_, backend_});
+                                        job.request.mode, group_, backend_, job.request.route});
     pinned_transaction opened;
     opened.organisation = job.request.organisation;
     opened.mode = job.request.mode;
--- a/src/core/configuration_validation.cpp
+++ b/src/core/configuration_validation.cpp
@@ -20,6 +20,13 @@
 /// Hexadecimal digits of a SHA-256 digest.
 constexpr std::size_t digest_digits = 64;
 
+/// Whether @a id can stand in a URL path and within a transaction id, whose separator is `~`.
+bool is_plain_id(const std::string& id) {
+    return std::all_of(id.begin(), id.end(), [](unsigned char letter) {
+        return std::isalnum(letter) != 0 || letter == '-' || letter == '_' || letter == '.';
+    });
+}
+
 /// Joined check of one document; collects problems and the names that must be unique.
 class document_check {
   public:
@@ -53,8 +60,17 @@
         }
     }
 
+    void require_plain(const char* table, const std::string& row, const std::string& key,
+                       const std::string& id) {
+        if (!is_plain_id(id)) {
+            add(table, row, key, "has an id with other characters than letters, digits, '-._'",
+                "rename it; the id is a part of URLs and transaction ids");
+        }
+    }
+
     void check_route(const route_name& name, const route_row& row) {
         require_name("routes", name.str());
+        require_plain("routes", name.str(), "", name.str());
         if (!document_.pools.contains(row.pool)) {
             add("routes", name.str(), "pool",
                 "names the pool '" + row.pool.str() + "' that does not exist",
@@ -92,6 +108,7 @@
         if (group.empty()) {
             add("pools", pool.str(), key, "has an empty id", "give the group an id");
         }
+        require_plain("pools", pool.str(), key, group.str());
         if (!groups_.insert(group).second) {
             add("pools", pool.str(), key, "is also a group of another pool",
                 "choose a group id that is unique over all pools");
@@ -111,6 +128,7 @@
         if (id.empty()) {
             add("pools", table_row, key, "has an empty id", "give the backend server an id");
         }
+        require_plain("pools", table_row, key, id.str());
         if (!servers_.insert(id).second) {
             add("pools", table_row, key, "is also a backend server of another group",
                 "choose a backend server id that is unique over all pools");
--- a/src/core/request_filters.cpp
+++ b/src/core/request_filters.cpp
@@ -61,10 +61,16 @@
         return handle.error();
     }
     r.request.mode = handle.value().mode;
+    r.request.route = handle.value().route;
     r.group = handle.value().group;
     r.pinned = std::move(handle).value();
-    // Without a key the request can only reach a transaction that an open route began.
-    r.route.open = r.request.key.empty();
+    const auto& routes = services_.configuration()->routes;
+    const auto found = routes.find(r.request.route);
+    if (found == routes.end()) {
+        return error{
+            error_kind::unknown_route, "route " + r.request.route.str() + " was removed", {}};
+    }
+    r.route = found->second;
     return std::nullopt;
 }
 
--- a/src/core/transaction_handle.cpp
+++ b/src/core/transaction_handle.cpp
@@ -12,7 +12,7 @@
 
 // Unreserved in URLs, so that the id can stand in a path.
 constexpr char separator = '~';
-constexpr std::size_t part_count = 6;
+constexpr std::size_t part_count = 7;
 
 std::vector<std::string_view> split(std::string_view text) {
     std::vector<std::string_view> parts;
@@ -48,6 +48,8 @@
     text += handle.group.str();
     text += separator;
     text += handle.backend.str();
+    text += separator;
+    text += handle.route.str();
     return transaction_id{std::move(text)};
 }
 
@@ -67,7 +69,8 @@
                               *number,
                               parts[3] == "w" ? access_mode::write : access_mode::read,
                               group_id{parts[4]},
-                              backend_server_id{parts[5]}};
+                              backend_server_id{parts[5]},
+                              route_name{parts[6]}};
 }
 
 } // namespace jackdawvane
--- a/tests/core/configuration_rules_test.cpp
+++ b/tests/core/configuration_rules_test.cpp
@@ -38,6 +38,7 @@
 INSTANTIATE_TEST_SUITE_P(
     ConfigurationRules, Mistakes,
     testing::Values(
+        mistake_case{"separator_in_id", "routes", "a~b", R"({"pool":"p"})", {""}},
         mistake_case{"no_pool", "routes", "r", R"({"pool":"none"})", {"pool"}},
         mistake_case{"three_at_once",
                      "routes",
--- a/tests/core/request_executor_test.cpp
+++ b/tests/core/request_executor_test.cpp
@@ -174,6 +174,15 @@
                          s.cut_off = true;
                      },
                      error_kind::isolated},
+        refusal_case{"isolated_follow_up_of_a_transaction",
+                     [](fake_services& s, caller_request& r) {
+                         r.kind = request_kind::commit;
+                         r.transaction = encode_transaction(
+                             {vm_id{"vm-a"}, vm_incarnation{1}, 1, access_mode::write,
+                              group_id{"g"}, backend_server_id{"a"}, route_name{"cautious"}});
+                         s.cut_off = true;
+                     },
+                     error_kind::isolated},
         refusal_case{"write_on_read_route",
                      [](fake_services&, caller_request& r) { r.route = route_name{"catalogue"}; },
                      error_kind::malformed_request},
