Bound new plans of a write that happen without time passing

Cause: after a cut, a VM could own backend servers of one group through two monitors that named different primaries. A write of that VM went round between them within one event: the process span, served nothing and ignored SIGTERM. Ruled out: a drain that waits for the store (another VM of the same domain left with no work in hand at the same time). Change: at most two new plans per delay. The backend stand-in drops a pull from its old primary when it is told to follow another one; the pull's timeout of 600 ms had delayed every failover by cut.

--- a/include/jackdawvane/request_executor.hpp
+++ b/include/jackdawvane/request_executor.hpp
@@ -115,6 +115,7 @@
         std::vector<session_position> session;
         std::vector<backend_server_id> targets;
         std::size_t next_target{0};
+        std::uint32_t replans{0}; ///< New plans since the last delay.
         phase state{phase::admission};
         time_point received;
         time_point deadline;
--- a/src/core/request_executor.cpp
+++ b/src/core/request_executor.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+/// New plans without a delay. Owners on this VM answer at once, so two of them that name different
+/// primaries would otherwise keep a request going round without time passing.
+constexpr std::uint32_t max_replans = 2;
+
 /// Problems of one attempt after which another backend server or a later attempt may succeed.
 constexpr std::array retryable_kinds{
     error_kind::replica_behind,  error_kind::staleness_unproved,
@@ -226,7 +230,9 @@
                             problem.kind == error_kind::staleness_unproved;
         services_.avoid(now, tried,
                         behind ? routing_trouble::behind : routing_trouble::unreachable);
-    } else if (summary != nullptr && !summary->primary.empty() && summary->primary != tried) {
+    } else if (summary != nullptr && !summary->primary.empty() && summary->primary != tried &&
+               r.replans < max_replans) {
+        ++r.replans;
         plan(now, r);
     }
     try_next(now, r, out);
@@ -332,6 +338,7 @@
         }
         return;
     case phase::retry:
+        r.replans = 0;
         plan(now, r);
         try_next(now, r, out);
         return;
--- a/src/standins/common/http_client.hpp
+++ b/src/standins/common/http_client.hpp
@@ -37,6 +37,12 @@
     [[nodiscard]] const endpoint& remote() const noexcept { return remote_; }
     /// @brief Closes the connection; the next request opens a new one.
     void close() noexcept { stream_.reset(); }
+    /// @brief Fails the request under way, if there is one.
+    void cancel() {
+        if (stream_) {
+            stream_->cancel();
+        }
+    }
 
   private:
     awaitable<bool> connect(milliseconds timeout);
--- a/src/standins/jackdawvane-backend/backend_server.cpp
+++ b/src/standins/jackdawvane-backend/backend_server.cpp
@@ -281,7 +281,12 @@
 
 awaitable<void> backend_server::follow(session_ptr /*session*/, const backend_request& request,
                                        backend_answer& answer) {
+    const auto source = database_->source();
     database_->follow(request, answer);
+    if (replication_ && database_->source() != source) {
+        // A pull from a primary that is cut off would delay the new one by its timeout.
+        replication_->cancel();
+    }
     changed_.notify();
     co_return;
 }
@@ -331,19 +336,18 @@
 }
 
 awaitable<void> backend_server::replicate() {
-    std::optional<http_client> primary;
     for (;;) {
         co_await thaw();
         const auto source = database_->source();
         if (source == endpoint{}) {
-            primary.reset();
+            replication_.reset();
             co_await changed_.wait_until(steady_clock::now() + pull_wait);
             continue;
         }
-        if (!primary || primary->remote() != source) {
-            primary.emplace(io_, source, settings_.listen.address);
+        if (!replication_ || replication_->remote() != source) {
+            replication_.emplace(io_, source, settings_.listen.address);
         }
-        co_await pull(*primary);
+        co_await pull(*replication_);
     }
 }
 
--- a/src/standins/jackdawvane-backend/backend_server.hpp
+++ b/src/standins/jackdawvane-backend/backend_server.hpp
@@ -144,6 +144,7 @@
     std::ofstream journal_;
     http_server server_;
     std::unique_ptr<database> database_;
+    std::optional<http_client> replication_; ///< Connection to the primary that is followed.
 };
 
 } // namespace jackdawvane::standin
--- a/tests/core/request_executor_test.cpp
+++ b/tests/core/request_executor_test.cpp
@@ -62,7 +62,7 @@
         return owner != nullptr ? *owner : vm_id{"vm-" + request.backend.str()};
     }
     void learn(const group_summary& summary) override {
-        if (!summary.primary.empty()) {
+        if (!summary.primary.empty() && learns) {
             write_plan = {summary.primary};
         }
     }
@@ -70,6 +70,7 @@
     configuration_document document;
     bool configured{true};
     bool cut_off{false};
+    bool learns{true}; ///< Whether summaries change the plan.
     admission verdict{{}, admission_state::admitted, {error_kind::none, {}, {}}};
     std::vector<backend_server_id> write_plan{backend_server_id{"a"}};
     std::vector<backend_server_id> read_plan{backend_server_id{"b"}, backend_server_id{"a"}};
@@ -253,6 +254,17 @@
     EXPECT_EQ(services_.forwarded[0].session, std::vector{seen});
 }
 
+/// Guards against an endless loop when owners name different primaries without time passing.
+TEST_F(RequestExecutor, ContradictingOwnersDoNotKeepAWriteGoingRound) {
+    services_.learns = false;
+    executor_.on_caller(start, order(), out_);
+    for (int i = 0; i < 50; ++i) {
+        reply(start, outcome::not_run, error_kind::no_primary, "c");
+    }
+    EXPECT_LE(services_.forwarded.size(), 4U);
+    EXPECT_GT(executor_.next_deadline(), start);
+}
+
 /// Guards against a read that fails because one replica is behind or silent.
 TEST_F(RequestExecutor, ReadGoesOnToTheNextBackendServer) {
     executor_.on_caller(start, lookup(), out_);
