--- a/include/jackdawvane/group_monitor.hpp
+++ b/include/jackdawvane/group_monitor.hpp
@@ -22,7 +22,7 @@
     duration answer_limit{std::chrono::milliseconds{150}};    ///< For an answer or a probe.
     duration region_allowance{std::chrono::milliseconds{10}}; ///< Connect and ask in the region.
     duration far_allowance{std::chrono::milliseconds{50}};    ///< The same in another region.
-    duration primary_silence{std::chrono::milliseconds{500}}; ///< Without a report about it.
+    duration primary_silence{std::chrono::milliseconds{600}}; ///< Without a report about it.
     duration rank_delay{std::chrono::milliseconds{200}};      ///< Head start of the next rank.
     duration follow_interval{std::chrono::milliseconds{300}}; ///< Between `follow` requests.
     duration reconnect{std::chrono::milliseconds{250}};       ///< Between connection attempts.
--- a/include/jackdawvane/report_exchange.hpp
+++ b/include/jackdawvane/report_exchange.hpp
@@ -13,7 +13,7 @@
 
 /// @brief Intervals of the reports between the owners of a group.
 struct report_intervals {
-    duration regular{std::chrono::milliseconds{350}};
+    duration regular{std::chrono::milliseconds{500}};
     /// Least time between two reports to another region; bounds the use of the billed link.
     duration other_region{std::chrono::milliseconds{50}};
 };
