Check a route's organisations in one place

Cause: the entry's key filter wrote again what authorise() in key_registry does, and nothing but a test called authorise(). Ruled out: removing authorise(), which has its own table of cases. The detail of the refusal no longer names the route; its kind, outcome and remedy are the same.

--- a/src/core/request_filters.cpp
+++ b/src/core/request_filters.cpp
@@ -1,3 +1,4 @@
+#include "jackdawvane/key_registry.hpp"
 #include "jackdawvane/request_executor.hpp"
 #include "jackdawvane/session_token.hpp"
 
@@ -88,13 +89,8 @@
         return organisation.error();
     }
     r.organisation = std::move(organisation).value();
-    const auto& allowed = r.route.organisations;
-    const bool admitted = allowed.empty() || std::find(allowed.begin(), allowed.end(),
-                                                       r.organisation) != allowed.end();
-    if (!admitted) {
-        return error{error_kind::organisation_not_allowed,
-                     "route " + r.request.route.str() + " does not list " + r.organisation.str(),
-                     {}};
+    if (auto permitted = authorise(r.route, r.organisation); !permitted) {
+        return permitted.error();
     }
     return std::nullopt;
 }
