Group the core's files by concern

The parts for the users' platform need an obvious home. Headers, sources and include paths move; nothing else changes.

--- a/include/jackdawvane/adapters/asio_host.hpp
+++ b/include/jackdawvane/adapters/asio_host.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "jackdawvane/action_dispatcher.hpp"
 #include "jackdawvane/adapters/event_sink.hpp"
-#include "jackdawvane/node_interface.hpp"
-#include "jackdawvane/ports.hpp"
+#include "jackdawvane/node/action_dispatcher.hpp"
+#include "jackdawvane/node/node_interface.hpp"
+#include "jackdawvane/node/ports.hpp"
 
 #include <deque>
 #include <functional>
--- a/include/jackdawvane/adapters/backend_port_adapter.hpp
+++ b/include/jackdawvane/adapters/backend_port_adapter.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "jackdawvane/adapters/event_sink.hpp"
-#include "jackdawvane/ports.hpp"
-#include "jackdawvane/time.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/node/ports.hpp"
 
 #include <memory>
 #include <string>
--- a/include/jackdawvane/adapters/caller_api.hpp
+++ b/include/jackdawvane/adapters/caller_api.hpp
@@ -2,9 +2,9 @@
 
 #include "jackdawvane/adapters/event_sink.hpp"
 #include "jackdawvane/adapters/http_server.hpp"
-#include "jackdawvane/id_sequence.hpp"
-#include "jackdawvane/node_interface.hpp"
-#include "jackdawvane/ports.hpp"
+#include "jackdawvane/foundation/id_sequence.hpp"
+#include "jackdawvane/node/node_interface.hpp"
+#include "jackdawvane/node/ports.hpp"
 
 #include <functional>
 #include <string>
--- a/include/jackdawvane/adapters/diagnostics.hpp
+++ b/include/jackdawvane/adapters/diagnostics.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "jackdawvane/action_dispatcher.hpp"
 #include "jackdawvane/adapters/decision_logger.hpp"
 #include "jackdawvane/adapters/metrics_registry.hpp"
+#include "jackdawvane/node/action_dispatcher.hpp"
 
 namespace jackdawvane {
 
--- a/include/jackdawvane/adapters/http_server.hpp
+++ b/include/jackdawvane/adapters/http_server.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "jackdawvane/adapters/http_message.hpp"
-#include "jackdawvane/time.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/foundation/types.hpp"
 
 #include <cstdint>
 #include <functional>
--- a/include/jackdawvane/adapters/peer_port_adapter.hpp
+++ b/include/jackdawvane/adapters/peer_port_adapter.hpp
@@ -2,7 +2,7 @@
 
 #include "jackdawvane/adapters/event_sink.hpp"
 #include "jackdawvane/adapters/peer_traffic.hpp"
-#include "jackdawvane/ports.hpp"
+#include "jackdawvane/node/ports.hpp"
 
 #include <memory>
 #include <string>
--- a/include/jackdawvane/adapters/peer_traffic.hpp
+++ b/include/jackdawvane/adapters/peer_traffic.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "jackdawvane/action_dispatcher.hpp"
-#include "jackdawvane/peer.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/node/action_dispatcher.hpp"
+#include "jackdawvane/node/peer.hpp"
 
 #include <cstdint>
 #include <map>
--- a/include/jackdawvane/backend_call.hpp
+++ b/include/jackdawvane/backends/backend_call.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "jackdawvane/backend.hpp"
-#include "jackdawvane/id_sequence.hpp"
-#include "jackdawvane/ports.hpp"
-#include "jackdawvane/time.hpp"
+#include "jackdawvane/foundation/id_sequence.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/node/backend.hpp"
+#include "jackdawvane/node/ports.hpp"
 
 #include <string>
 
--- a/include/jackdawvane/backend_owner.hpp
+++ b/include/jackdawvane/backends/backend_owner.hpp
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "jackdawvane/configuration.hpp"
-#include "jackdawvane/connection_pool.hpp"
-#include "jackdawvane/fair_queue.hpp"
-#include "jackdawvane/fencing_policy.hpp"
-#include "jackdawvane/group_monitor.hpp"
-#include "jackdawvane/peer.hpp"
-#include "jackdawvane/ports.hpp"
-#include "jackdawvane/time.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/backends/connection_pool.hpp"
+#include "jackdawvane/configuration/configuration.hpp"
+#include "jackdawvane/failover/fencing_policy.hpp"
+#include "jackdawvane/failover/group_monitor.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/limits/fair_queue.hpp"
+#include "jackdawvane/node/peer.hpp"
+#include "jackdawvane/node/ports.hpp"
 
 #include <cstddef>
 #include <cstdint>
--- a/include/jackdawvane/connection_pool.hpp
+++ b/include/jackdawvane/backends/connection_pool.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "jackdawvane/id_sequence.hpp"
-#include "jackdawvane/ports.hpp"
-#include "jackdawvane/time.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/foundation/id_sequence.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/node/ports.hpp"
 
 #include <cstddef>
 #include <cstdint>
--- a/include/jackdawvane/owned_backends.hpp
+++ b/include/jackdawvane/backends/owned_backends.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "jackdawvane/backend_owner.hpp"
-#include "jackdawvane/configuration.hpp"
-#include "jackdawvane/group_monitor.hpp"
-#include "jackdawvane/ports.hpp"
-#include "jackdawvane/random.hpp"
-#include "jackdawvane/time.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/backends/backend_owner.hpp"
+#include "jackdawvane/configuration/configuration.hpp"
+#include "jackdawvane/failover/group_monitor.hpp"
+#include "jackdawvane/foundation/random.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/node/ports.hpp"
 
 #include <map>
 #include <memory>
--- a/include/jackdawvane/configuration.hpp
+++ b/include/jackdawvane/configuration/configuration.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "jackdawvane/caller.hpp"
-#include "jackdawvane/json_codec.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/foundation/json_codec.hpp"
+#include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/node/caller.hpp"
 
 #include <utility>
 
--- a/include/jackdawvane/configuration_replica.hpp
+++ b/include/jackdawvane/configuration/configuration_replica.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "jackdawvane/configuration_rules.hpp"
-#include "jackdawvane/id_sequence.hpp"
-#include "jackdawvane/ports.hpp"
-#include "jackdawvane/random.hpp"
+#include "jackdawvane/configuration/configuration_rules.hpp"
+#include "jackdawvane/foundation/id_sequence.hpp"
+#include "jackdawvane/foundation/random.hpp"
+#include "jackdawvane/node/ports.hpp"
 
 #include <memory>
 #include <optional>
--- a/include/jackdawvane/configuration_rules.hpp
+++ b/include/jackdawvane/configuration/configuration_rules.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "jackdawvane/configuration.hpp"
-#include "jackdawvane/error.hpp"
+#include "jackdawvane/configuration/configuration.hpp"
+#include "jackdawvane/foundation/error.hpp"
 
 #include <cstddef>
 #include <optional>
--- a/include/jackdawvane/key_registry.hpp
+++ b/include/jackdawvane/configuration/key_registry.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "jackdawvane/configuration.hpp"
-#include "jackdawvane/error.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/configuration/configuration.hpp"
+#include "jackdawvane/foundation/error.hpp"
+#include "jackdawvane/foundation/types.hpp"
 
 #include <string_view>
 #include <unordered_map>
--- a/include/jackdawvane/fencing_policy.hpp
+++ b/include/jackdawvane/failover/fencing_policy.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "jackdawvane/configuration.hpp"
-#include "jackdawvane/error.hpp"
-#include "jackdawvane/group_view.hpp"
-#include "jackdawvane/time.hpp"
+#include "jackdawvane/configuration/configuration.hpp"
+#include "jackdawvane/failover/group_view.hpp"
+#include "jackdawvane/foundation/error.hpp"
+#include "jackdawvane/foundation/time.hpp"
 
 #include <optional>
 
--- a/include/jackdawvane/group_monitor.hpp
+++ b/include/jackdawvane/failover/group_monitor.hpp
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "jackdawvane/backend_call.hpp"
-#include "jackdawvane/configuration.hpp"
-#include "jackdawvane/group_view.hpp"
-#include "jackdawvane/ports.hpp"
-#include "jackdawvane/promotion.hpp"
-#include "jackdawvane/random.hpp"
-#include "jackdawvane/report_exchange.hpp"
-#include "jackdawvane/store.hpp"
-#include "jackdawvane/time.hpp"
+#include "jackdawvane/backends/backend_call.hpp"
+#include "jackdawvane/configuration/configuration.hpp"
+#include "jackdawvane/failover/group_view.hpp"
+#include "jackdawvane/failover/promotion.hpp"
+#include "jackdawvane/failover/report_exchange.hpp"
+#include "jackdawvane/foundation/random.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/node/ports.hpp"
+#include "jackdawvane/node/store.hpp"
 
 #include <map>
 #include <optional>
--- a/include/jackdawvane/group_view.hpp
+++ b/include/jackdawvane/failover/group_view.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "jackdawvane/backend.hpp"
-#include "jackdawvane/peer.hpp"
-#include "jackdawvane/time.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/node/backend.hpp"
+#include "jackdawvane/node/peer.hpp"
 
 #include <cstddef>
 #include <deque>
--- a/include/jackdawvane/promotion.hpp
+++ b/include/jackdawvane/failover/promotion.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "jackdawvane/backend_call.hpp"
-#include "jackdawvane/ports.hpp"
-#include "jackdawvane/time.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/backends/backend_call.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/node/ports.hpp"
 
 #include <optional>
 #include <string>
--- a/include/jackdawvane/report_exchange.hpp
+++ b/include/jackdawvane/failover/report_exchange.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "jackdawvane/group_view.hpp"
-#include "jackdawvane/peer.hpp"
-#include "jackdawvane/ports.hpp"
-#include "jackdawvane/store.hpp"
-#include "jackdawvane/time.hpp"
+#include "jackdawvane/failover/group_view.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/node/peer.hpp"
+#include "jackdawvane/node/ports.hpp"
+#include "jackdawvane/node/store.hpp"
 
 #include <map>
 #include <optional>
--- a/include/jackdawvane/term_history.hpp
+++ b/include/jackdawvane/failover/term_history.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "jackdawvane/backend.hpp"
-#include "jackdawvane/peer.hpp"
+#include "jackdawvane/node/backend.hpp"
+#include "jackdawvane/node/peer.hpp"
 
 #include <optional>
 
--- a/include/jackdawvane/error.hpp
+++ b/include/jackdawvane/foundation/error.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/time.hpp"
+#include "jackdawvane/foundation/time.hpp"
 
 #include <optional>
 #include <string>
--- a/include/jackdawvane/json_codec.hpp
+++ b/include/jackdawvane/foundation/json_codec.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "jackdawvane/error.hpp"
-#include "jackdawvane/time.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/foundation/error.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/foundation/types.hpp"
 
 #include <concepts>
 #include <cstdint>
--- a/include/jackdawvane/admission.hpp
+++ b/include/jackdawvane/limits/admission.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "jackdawvane/error.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/foundation/error.hpp"
+#include "jackdawvane/foundation/types.hpp"
 
 namespace jackdawvane {
 
--- a/include/jackdawvane/fair_queue.hpp
+++ b/include/jackdawvane/limits/fair_queue.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "jackdawvane/time.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/foundation/types.hpp"
 
 #include <utility>
 
--- a/include/jackdawvane/organisation_limiter.hpp
+++ b/include/jackdawvane/limits/organisation_limiter.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "jackdawvane/admission.hpp"
-#include "jackdawvane/configuration.hpp"
-#include "jackdawvane/peer.hpp"
-#include "jackdawvane/share_ledger.hpp"
-#include "jackdawvane/token_bucket.hpp"
-#include "jackdawvane/token_donors.hpp"
+#include "jackdawvane/configuration/configuration.hpp"
+#include "jackdawvane/limits/admission.hpp"
+#include "jackdawvane/limits/share_ledger.hpp"
+#include "jackdawvane/limits/token_bucket.hpp"
+#include "jackdawvane/limits/token_donors.hpp"
+#include "jackdawvane/node/peer.hpp"
 
 #include <utility>
 
--- a/include/jackdawvane/rate_limiter.hpp
+++ b/include/jackdawvane/limits/rate_limiter.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/organisation_limiter.hpp"
+#include "jackdawvane/limits/organisation_limiter.hpp"
 
 #include <cstdint>
 #include <map>
--- a/include/jackdawvane/share_ledger.hpp
+++ b/include/jackdawvane/limits/share_ledger.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "jackdawvane/id_sequence.hpp"
-#include "jackdawvane/ports.hpp"
-#include "jackdawvane/random.hpp"
-#include "jackdawvane/share_record.hpp"
-#include "jackdawvane/store.hpp"
-#include "jackdawvane/time.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/foundation/id_sequence.hpp"
+#include "jackdawvane/foundation/random.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/limits/share_record.hpp"
+#include "jackdawvane/node/ports.hpp"
+#include "jackdawvane/node/store.hpp"
 
 #include <chrono>
 #include <cstdint>
--- a/include/jackdawvane/token_bucket.hpp
+++ b/include/jackdawvane/limits/token_bucket.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/time.hpp"
+#include "jackdawvane/foundation/time.hpp"
 
 namespace jackdawvane {
 
--- a/include/jackdawvane/token_donors.hpp
+++ b/include/jackdawvane/limits/token_donors.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "jackdawvane/share_record.hpp"
-#include "jackdawvane/time.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/limits/share_record.hpp"
 
 #include <chrono>
 #include <cstddef>
--- a/include/jackdawvane/membership.hpp
+++ b/include/jackdawvane/membership/membership.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "jackdawvane/id_sequence.hpp"
-#include "jackdawvane/member_table.hpp"
-#include "jackdawvane/ports.hpp"
-#include "jackdawvane/random.hpp"
+#include "jackdawvane/foundation/id_sequence.hpp"
+#include "jackdawvane/foundation/random.hpp"
+#include "jackdawvane/membership/member_table.hpp"
+#include "jackdawvane/node/ports.hpp"
 
 #include <algorithm>
 #include <map>
--- a/include/jackdawvane/placement.hpp
+++ b/include/jackdawvane/membership/placement.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "jackdawvane/store.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/node/store.hpp"
 
 #include <cstddef>
 #include <cstdint>
--- a/include/jackdawvane/caller.hpp
+++ b/include/jackdawvane/node/caller.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "jackdawvane/error.hpp"
-#include "jackdawvane/json_codec.hpp"
-#include "jackdawvane/time.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/foundation/error.hpp"
+#include "jackdawvane/foundation/json_codec.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/foundation/types.hpp"
 
 #include <utility>
 
--- a/include/jackdawvane/node_interface.hpp
+++ b/include/jackdawvane/node/node_interface.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "jackdawvane/ports.hpp"
-#include "jackdawvane/time.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/node/ports.hpp"
 
 #include <json/json.h>
 
--- a/include/jackdawvane/peer.hpp
+++ b/include/jackdawvane/node/peer.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "jackdawvane/backend.hpp"
-#include "jackdawvane/caller.hpp"
-#include "jackdawvane/configuration.hpp"
-#include "jackdawvane/json_codec.hpp"
-#include "jackdawvane/store.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/configuration/configuration.hpp"
+#include "jackdawvane/foundation/json_codec.hpp"
+#include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/node/backend.hpp"
+#include "jackdawvane/node/caller.hpp"
+#include "jackdawvane/node/store.hpp"
 
 #include <string>
 #include <variant>
--- a/include/jackdawvane/ports.hpp
+++ b/include/jackdawvane/node/ports.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "jackdawvane/backend.hpp"
-#include "jackdawvane/caller.hpp"
-#include "jackdawvane/peer.hpp"
-#include "jackdawvane/store.hpp"
-#include "jackdawvane/time.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/node/backend.hpp"
+#include "jackdawvane/node/caller.hpp"
+#include "jackdawvane/node/peer.hpp"
+#include "jackdawvane/node/store.hpp"
 
 #include <string>
 #include <variant>
--- a/include/jackdawvane/request_executor.hpp
+++ b/include/jackdawvane/routing/request_executor.hpp
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "jackdawvane/admission.hpp"
-#include "jackdawvane/configuration.hpp"
-#include "jackdawvane/id_sequence.hpp"
-#include "jackdawvane/peer.hpp"
-#include "jackdawvane/ports.hpp"
-#include "jackdawvane/router.hpp"
-#include "jackdawvane/time.hpp"
-#include "jackdawvane/transaction_handle.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/configuration/configuration.hpp"
+#include "jackdawvane/foundation/id_sequence.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/limits/admission.hpp"
+#include "jackdawvane/node/peer.hpp"
+#include "jackdawvane/node/ports.hpp"
+#include "jackdawvane/routing/router.hpp"
+#include "jackdawvane/routing/transaction_handle.hpp"
 
 #include <utility>
 
--- a/include/jackdawvane/router.hpp
+++ b/include/jackdawvane/routing/router.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "jackdawvane/caller.hpp"
-#include "jackdawvane/configuration.hpp"
-#include "jackdawvane/time.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/configuration/configuration.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/node/caller.hpp"
 
 #include <cstdint>
 #include <functional>
--- a/include/jackdawvane/session_token.hpp
+++ b/include/jackdawvane/routing/session_token.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "jackdawvane/error.hpp"
-#include "jackdawvane/peer.hpp"
+#include "jackdawvane/foundation/error.hpp"
+#include "jackdawvane/node/peer.hpp"
 
 #include <cstddef>
 #include <string>
--- a/include/jackdawvane/transaction_handle.hpp
+++ b/include/jackdawvane/routing/transaction_handle.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "jackdawvane/caller.hpp"
-#include "jackdawvane/error.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/foundation/error.hpp"
+#include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/node/caller.hpp"
 
 #include <cstdint>
 
--- a/src/adapters/caller_api.cpp
+++ b/src/adapters/caller_api.cpp
@@ -1,6 +1,6 @@
 #include "jackdawvane/adapters/caller_api.hpp"
 
-#include "jackdawvane/json_codec.hpp"
+#include "jackdawvane/foundation/json_codec.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/adapters/caller_request_reader.cpp
+++ b/src/adapters/caller_request_reader.cpp
@@ -1,5 +1,5 @@
 #include "jackdawvane/adapters/caller_api.hpp"
-#include "jackdawvane/json_codec.hpp"
+#include "jackdawvane/foundation/json_codec.hpp"
 
 #include <utility>
 
--- a/src/adapters/json_rpc_reader.cpp
+++ b/src/adapters/json_rpc_reader.cpp
@@ -1,6 +1,6 @@
 #include "json_rpc_reader.hpp"
 
-#include "jackdawvane/peer.hpp"
+#include "jackdawvane/node/peer.hpp"
 
 #include <jsonrpccpp/server.h>
 
--- a/src/adapters/store_port_adapter.cpp
+++ b/src/adapters/store_port_adapter.cpp
@@ -1,7 +1,7 @@
 #include "jackdawvane/adapters/store_port_adapter.hpp"
 
 #include "jackdawvane/adapters/http_client.hpp"
-#include "jackdawvane/json_codec.hpp"
+#include "jackdawvane/foundation/json_codec.hpp"
 
 #include <utility>
 
--- a/src/core/backend_call.cpp
+++ b/src/core/backends/backend_call.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/backend_call.hpp"
+#include "jackdawvane/backends/backend_call.hpp"
 
 #include <utility>
 
--- a/src/core/backend_owner.cpp
+++ b/src/core/backends/backend_owner.cpp
@@ -1,8 +1,8 @@
-#include "jackdawvane/backend_owner.hpp"
+#include "jackdawvane/backends/backend_owner.hpp"
 
-#include "jackdawvane/session_token.hpp"
-#include "jackdawvane/term_history.hpp"
-#include "jackdawvane/transaction_handle.hpp"
+#include "jackdawvane/failover/term_history.hpp"
+#include "jackdawvane/routing/session_token.hpp"
+#include "jackdawvane/routing/transaction_handle.hpp"
 
 #include <utility>
 
--- a/src/core/backend_owner_completion.cpp
+++ b/src/core/backends/backend_owner_completion.cpp
@@ -1,5 +1,5 @@
-#include "jackdawvane/backend_owner.hpp"
-#include "jackdawvane/transaction_handle.hpp"
+#include "jackdawvane/backends/backend_owner.hpp"
+#include "jackdawvane/routing/transaction_handle.hpp"
 
 #include <utility>
 
--- a/src/core/owned_backends.cpp
+++ b/src/core/backends/owned_backends.cpp
@@ -1,6 +1,6 @@
-#include "jackdawvane/owned_backends.hpp"
+#include "jackdawvane/backends/owned_backends.hpp"
 
-#include "jackdawvane/placement.hpp"
+#include "jackdawvane/membership/placement.hpp"
 
 #include <utility>
 
--- a/src/core/configuration_replica.cpp
+++ b/src/core/configuration/configuration_replica.cpp
@@ -1,7 +1,7 @@
-#include "jackdawvane/configuration_replica.hpp"
+#include "jackdawvane/configuration/configuration_replica.hpp"
 
-#include "jackdawvane/configuration_editor.hpp"
-#include "jackdawvane/placement.hpp"
+#include "jackdawvane/configuration/configuration_editor.hpp"
+#include "jackdawvane/membership/placement.hpp"
 
 #include <utility>
 
--- a/src/core/configuration_validation.cpp
+++ b/src/core/configuration/configuration_validation.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/configuration_rules.hpp"
+#include "jackdawvane/configuration/configuration_rules.hpp"
 
 #include <utility>
 
--- a/src/core/fencing_policy.cpp
+++ b/src/core/failover/fencing_policy.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/fencing_policy.hpp"
+#include "jackdawvane/failover/fencing_policy.hpp"
 
 #include <string>
 
--- a/src/core/group_monitor.cpp
+++ b/src/core/failover/group_monitor.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/group_monitor.hpp"
+#include "jackdawvane/failover/group_monitor.hpp"
 
 #include <utility>
 
--- a/src/core/group_monitor_election.cpp
+++ b/src/core/failover/group_monitor_election.cpp
@@ -1,5 +1,5 @@
-#include "jackdawvane/group_monitor.hpp"
-#include "jackdawvane/placement.hpp"
+#include "jackdawvane/failover/group_monitor.hpp"
+#include "jackdawvane/membership/placement.hpp"
 
 #include <utility>
 
--- a/src/core/group_view.cpp
+++ b/src/core/failover/group_view.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/group_view.hpp"
+#include "jackdawvane/failover/group_view.hpp"
 
 #include <utility>
 
--- a/src/core/promotion.cpp
+++ b/src/core/failover/promotion.cpp
@@ -1,6 +1,6 @@
-#include "jackdawvane/promotion.hpp"
+#include "jackdawvane/failover/promotion.hpp"
 
-#include "jackdawvane/group_view.hpp"
+#include "jackdawvane/failover/group_view.hpp"
 
 #include <utility>
 
--- a/src/core/report_exchange.cpp
+++ b/src/core/failover/report_exchange.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/report_exchange.hpp"
+#include "jackdawvane/failover/report_exchange.hpp"
 
 #include <utility>
 
--- a/src/core/term_history.cpp
+++ b/src/core/failover/term_history.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/term_history.hpp"
+#include "jackdawvane/failover/term_history.hpp"
 
 namespace jackdawvane {
 
--- a/src/core/error.cpp
+++ b/src/core/foundation/error.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/error.hpp"
+#include "jackdawvane/foundation/error.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/core/json_codec.cpp
+++ b/src/core/foundation/json_codec.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/json_codec.hpp"
+#include "jackdawvane/foundation/json_codec.hpp"
 
 #include <charconv>
 #include <memory>
--- a/src/core/organisation_limiter.cpp
+++ b/src/core/limits/organisation_limiter.cpp
@@ -1,6 +1,6 @@
-#include "jackdawvane/organisation_limiter.hpp"
+#include "jackdawvane/limits/organisation_limiter.hpp"
 
-#include "jackdawvane/placement.hpp"
+#include "jackdawvane/membership/placement.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/organisation_limiter_peers.cpp
+++ b/src/core/limits/organisation_limiter_peers.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/organisation_limiter.hpp"
+#include "jackdawvane/limits/organisation_limiter.hpp"
 
 #include <algorithm>
 #include <chrono>
--- a/src/core/rate_limiter.cpp
+++ b/src/core/limits/rate_limiter.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/rate_limiter.hpp"
+#include "jackdawvane/limits/rate_limiter.hpp"
 
 #include <utility>
 
--- a/src/core/share_ledger.cpp
+++ b/src/core/limits/share_ledger.cpp
@@ -1,6 +1,6 @@
-#include "jackdawvane/share_ledger.hpp"
+#include "jackdawvane/limits/share_ledger.hpp"
 
-#include "jackdawvane/placement.hpp"
+#include "jackdawvane/membership/placement.hpp"
 
 #include <utility>
 
--- a/src/core/share_ledger_calls.cpp
+++ b/src/core/limits/share_ledger_calls.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/share_ledger.hpp"
+#include "jackdawvane/limits/share_ledger.hpp"
 
 #include <utility>
 
--- a/src/core/share_record.cpp
+++ b/src/core/limits/share_record.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/share_record.hpp"
+#include "jackdawvane/limits/share_record.hpp"
 
 #include <algorithm>
 
--- a/src/core/token_donors.cpp
+++ b/src/core/limits/token_donors.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/token_donors.hpp"
+#include "jackdawvane/limits/token_donors.hpp"
 
 #include <utility>
 
--- a/src/core/member_table.cpp
+++ b/src/core/membership/member_table.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/member_table.hpp"
+#include "jackdawvane/membership/member_table.hpp"
 
 #include <utility>
 
--- a/src/core/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/membership.hpp"
+#include "jackdawvane/membership/membership.hpp"
 
 #include <utility>
 
--- a/src/core/membership_list.cpp
+++ b/src/core/membership/membership_list.cpp
@@ -1,5 +1,5 @@
-#include "jackdawvane/membership.hpp"
-#include "jackdawvane/placement.hpp"
+#include "jackdawvane/membership/membership.hpp"
+#include "jackdawvane/membership/placement.hpp"
 
 #include <utility>
 
--- a/src/core/placement.cpp
+++ b/src/core/membership/placement.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/placement.hpp"
+#include "jackdawvane/membership/placement.hpp"
 
 #include <utility>
 
--- a/src/core/action_dispatcher.cpp
+++ b/src/core/node/action_dispatcher.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/action_dispatcher.hpp"
+#include "jackdawvane/node/action_dispatcher.hpp"
 
 namespace jackdawvane {
 
--- a/src/core/node_impl.hpp
+++ b/src/core/node/node_impl.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "jackdawvane/configuration_replica.hpp"
-#include "jackdawvane/key_registry.hpp"
-#include "jackdawvane/membership.hpp"
-#include "jackdawvane/node.hpp"
-#include "jackdawvane/owned_backends.hpp"
-#include "jackdawvane/rate_limiter.hpp"
-#include "jackdawvane/request_executor.hpp"
-#include "jackdawvane/router.hpp"
+#include "jackdawvane/backends/owned_backends.hpp"
+#include "jackdawvane/configuration/configuration_replica.hpp"
+#include "jackdawvane/configuration/key_registry.hpp"
+#include "jackdawvane/limits/rate_limiter.hpp"
+#include "jackdawvane/membership/membership.hpp"
+#include "jackdawvane/node/node.hpp"
+#include "jackdawvane/routing/request_executor.hpp"
+#include "jackdawvane/routing/router.hpp"
 
 #include <deque>
 #include <map>
--- a/src/core/peer.cpp
+++ b/src/core/node/peer.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/peer.hpp"
+#include "jackdawvane/node/peer.hpp"
 
 namespace jackdawvane {
 
--- a/src/core/request_executor.cpp
+++ b/src/core/routing/request_executor.cpp
@@ -1,6 +1,6 @@
-#include "jackdawvane/request_executor.hpp"
+#include "jackdawvane/routing/request_executor.hpp"
 
-#include "jackdawvane/session_token.hpp"
+#include "jackdawvane/routing/session_token.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/core/router.cpp
+++ b/src/core/routing/router.cpp
@@ -1,6 +1,6 @@
-#include "jackdawvane/router.hpp"
+#include "jackdawvane/routing/router.hpp"
 
-#include "jackdawvane/placement.hpp"
+#include "jackdawvane/membership/placement.hpp"
 
 #include <utility>
 
--- a/src/core/session_token.cpp
+++ b/src/core/routing/session_token.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/session_token.hpp"
+#include "jackdawvane/routing/session_token.hpp"
 
 #include <utility>
 
--- a/src/core/transaction_handle.cpp
+++ b/src/core/routing/transaction_handle.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/transaction_handle.hpp"
+#include "jackdawvane/routing/transaction_handle.hpp"
 
 #include <charconv>
 #include <optional>
--- a/src/programs/jackdawvane-limits/alternatives.cpp
+++ b/src/programs/jackdawvane-limits/alternatives.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/token_bucket.hpp"
+#include "jackdawvane/limits/token_bucket.hpp"
 
 #include <utility>
 
--- a/src/programs/jackdawvane-limits/scenario.hpp
+++ b/src/programs/jackdawvane-limits/scenario.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "jackdawvane/random.hpp"
-#include "jackdawvane/share_record.hpp"
-#include "jackdawvane/time.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/foundation/random.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/limits/share_record.hpp"
 
 #include <utility>
 
--- a/src/programs/jackdawvane-limits/study.cpp
+++ b/src/programs/jackdawvane-limits/study.cpp
@@ -1,6 +1,6 @@
 #include "programs/jackdawvane-limits/study.hpp"
 
-#include "jackdawvane/token_bucket.hpp"
+#include "jackdawvane/limits/token_bucket.hpp"
 
 #include <algorithm>
 #include <chrono>
--- a/src/programs/jackdawvane-limits/world.hpp
+++ b/src/programs/jackdawvane-limits/world.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "jackdawvane/ports.hpp"
-#include "jackdawvane/store.hpp"
+#include "jackdawvane/node/ports.hpp"
+#include "jackdawvane/node/store.hpp"
 
 #include <utility>
 
--- a/src/programs/jackdawvanectl/commands.cpp
+++ b/src/programs/jackdawvanectl/commands.cpp
@@ -1,6 +1,6 @@
 #include "programs/jackdawvanectl/commands.hpp"
 
-#include "jackdawvane/key_registry.hpp"
+#include "jackdawvane/configuration/key_registry.hpp"
 
 #include <utility>
 
--- a/src/programs/jackdawvanectl/operator_session.hpp
+++ b/src/programs/jackdawvanectl/operator_session.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/configuration_editor.hpp"
+#include "jackdawvane/configuration/configuration_editor.hpp"
 
 #include <string>
 #include <vector>
--- a/src/programs/jackdawvaned.cpp
+++ b/src/programs/jackdawvaned.cpp
@@ -1,5 +1,5 @@
 #include "jackdawvane/adapters/settings_reader.hpp"
-#include "jackdawvane/node.hpp"
+#include "jackdawvane/node/node.hpp"
 
 #include <utility>
 
--- a/src/programs/jackdawvaned/daemon.hpp
+++ b/src/programs/jackdawvaned/daemon.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/node.hpp"
+#include "jackdawvane/node/node.hpp"
 
 #include <functional>
 #include <memory>
--- a/src/programs/jackdawvaned/daemon_settings.hpp
+++ b/src/programs/jackdawvaned/daemon_settings.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "jackdawvane/adapters/decision_logger.hpp"
-#include "jackdawvane/json_codec.hpp"
-#include "jackdawvane/node.hpp"
+#include "jackdawvane/foundation/json_codec.hpp"
+#include "jackdawvane/node/node.hpp"
 
 #include <cstdint>
 #include <optional>
--- a/src/standins/common/http_client.hpp
+++ b/src/standins/common/http_client.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/foundation/types.hpp"
 
 #include <map>
 #include <optional>
--- a/src/standins/common/http_server.cpp
+++ b/src/standins/common/http_server.cpp
@@ -1,6 +1,6 @@
 #include "standins/common/http_server.hpp"
 
-#include "jackdawvane/json_codec.hpp"
+#include "jackdawvane/foundation/json_codec.hpp"
 
 #include <sstream>
 
--- a/src/standins/jackdawvane-backend/database.hpp
+++ b/src/standins/jackdawvane-backend/database.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/backend.hpp"
+#include "jackdawvane/node/backend.hpp"
 
 #include <functional>
 #include <string>
--- a/src/standins/jackdawvane-backend/replicated_log.hpp
+++ b/src/standins/jackdawvane-backend/replicated_log.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "jackdawvane/backend.hpp"
-#include "jackdawvane/json_codec.hpp"
+#include "jackdawvane/foundation/json_codec.hpp"
+#include "jackdawvane/node/backend.hpp"
 
 #include <string>
 #include <vector>
--- a/src/standins/jackdawvane-backend/state_machine.hpp
+++ b/src/standins/jackdawvane-backend/state_machine.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/error.hpp"
+#include "jackdawvane/foundation/error.hpp"
 
 #include <map>
 #include <optional>
--- a/src/standins/jackdawvane-link/network.hpp
+++ b/src/standins/jackdawvane-link/network.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/json_codec.hpp"
+#include "jackdawvane/foundation/json_codec.hpp"
 
 #include <utility>
 
--- a/src/standins/jackdawvane-load/caller_client.cpp
+++ b/src/standins/jackdawvane-load/caller_client.cpp
@@ -1,6 +1,6 @@
 #include "standins/jackdawvane-load/caller_client.hpp"
 
-#include "jackdawvane/json_codec.hpp"
+#include "jackdawvane/foundation/json_codec.hpp"
 
 namespace jackdawvane::standin {
 
--- a/src/standins/jackdawvane-load/caller_client.hpp
+++ b/src/standins/jackdawvane-load/caller_client.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "jackdawvane/caller.hpp"
-#include "jackdawvane/error.hpp"
+#include "jackdawvane/foundation/error.hpp"
+#include "jackdawvane/node/caller.hpp"
 
 #include <optional>
 #include <string>
--- a/src/standins/jackdawvane-load/direct_run.cpp
+++ b/src/standins/jackdawvane-load/direct_run.cpp
@@ -1,6 +1,6 @@
 #include "standins/jackdawvane-load/direct_run.hpp"
 
-#include "jackdawvane/backend.hpp"
+#include "jackdawvane/node/backend.hpp"
 
 #include <algorithm>
 #include <optional>
--- a/src/standins/jackdawvane-load/direct_run.hpp
+++ b/src/standins/jackdawvane-load/direct_run.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/caller.hpp"
+#include "jackdawvane/node/caller.hpp"
 
 #include <string>
 
--- a/src/standins/jackdawvane-load/load_settings.hpp
+++ b/src/standins/jackdawvane-load/load_settings.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "jackdawvane/json_codec.hpp"
-#include "jackdawvane/types.hpp"
+#include "jackdawvane/foundation/json_codec.hpp"
+#include "jackdawvane/foundation/types.hpp"
 
 #include <utility>
 
--- a/src/standins/jackdawvane-platform/key_value_store.hpp
+++ b/src/standins/jackdawvane-platform/key_value_store.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/store.hpp"
+#include "jackdawvane/node/store.hpp"
 
 #include <map>
 #include <optional>
--- a/src/standins/jackdawvane-platform/platform_server.hpp
+++ b/src/standins/jackdawvane-platform/platform_server.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/random.hpp"
+#include "jackdawvane/foundation/random.hpp"
 
 #include <map>
 #include <optional>
--- a/tests/adapters/jackdawvanectl_test.cpp
+++ b/tests/adapters/jackdawvanectl_test.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/key_registry.hpp"
+#include "jackdawvane/configuration/key_registry.hpp"
 
 #include <utility>
 
--- a/tests/adapters/load_checks_test.cpp
+++ b/tests/adapters/load_checks_test.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/json_codec.hpp"
+#include "jackdawvane/foundation/json_codec.hpp"
 
 #include "standins/jackdawvane-load/measurements.hpp"
 #include "standins/jackdawvane-load/order_book.hpp"
--- a/tests/adapters/loopback.hpp
+++ b/tests/adapters/loopback.hpp
@@ -2,7 +2,7 @@
 
 #include "jackdawvane/adapters/http_client.hpp"
 #include "jackdawvane/adapters/http_server.hpp"
-#include "jackdawvane/ports.hpp"
+#include "jackdawvane/node/ports.hpp"
 
 #include <functional>
 #include <optional>
--- a/tests/core/configuration_editor_test.cpp
+++ b/tests/core/configuration_editor_test.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/configuration_editor.hpp"
+#include "jackdawvane/configuration/configuration_editor.hpp"
 
 #include <deque>
 
--- a/tests/core/configuration_replica_test.cpp
+++ b/tests/core/configuration_replica_test.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/configuration_replica.hpp"
+#include "jackdawvane/configuration/configuration_replica.hpp"
 
 #include <deque>
 
--- a/tests/core/configuration_samples.hpp
+++ b/tests/core/configuration_samples.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/configuration_rules.hpp"
+#include "jackdawvane/configuration/configuration_rules.hpp"
 
 #include <string>
 
--- a/tests/core/connection_pool_test.cpp
+++ b/tests/core/connection_pool_test.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/connection_pool.hpp"
+#include "jackdawvane/backends/connection_pool.hpp"
 
 #include <algorithm>
 #include <string>
--- a/tests/core/fair_queue_test.cpp
+++ b/tests/core/fair_queue_test.cpp
@@ -1,5 +1,5 @@
-#include "jackdawvane/fair_queue.hpp"
-#include "jackdawvane/random.hpp"
+#include "jackdawvane/foundation/random.hpp"
+#include "jackdawvane/limits/fair_queue.hpp"
 
 #include <utility>
 
--- a/tests/core/fake_backend.hpp
+++ b/tests/core/fake_backend.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "jackdawvane/backend.hpp"
-#include "jackdawvane/time.hpp"
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/node/backend.hpp"
 
 #include <algorithm>
 #include <map>
--- a/tests/core/group_simulation.hpp
+++ b/tests/core/group_simulation.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "jackdawvane/fencing_policy.hpp"
-#include "jackdawvane/group_monitor.hpp"
+#include "jackdawvane/failover/fencing_policy.hpp"
+#include "jackdawvane/failover/group_monitor.hpp"
 
 #include <utility>
 
--- a/tests/core/group_view_test.cpp
+++ b/tests/core/group_view_test.cpp
@@ -1,5 +1,5 @@
-#include "jackdawvane/fencing_policy.hpp"
-#include "jackdawvane/group_view.hpp"
+#include "jackdawvane/failover/fencing_policy.hpp"
+#include "jackdawvane/failover/group_view.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/core/json_codec_test.cpp
+++ b/tests/core/json_codec_test.cpp
@@ -1,5 +1,5 @@
-#include "jackdawvane/json_codec.hpp"
-#include "jackdawvane/peer.hpp"
+#include "jackdawvane/foundation/json_codec.hpp"
+#include "jackdawvane/node/peer.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/core/key_registry_test.cpp
+++ b/tests/core/key_registry_test.cpp
@@ -1,4 +1,4 @@
-#include "jackdawvane/key_registry.hpp"
+#include "jackdawvane/configuration/key_registry.hpp"
 
 #include "core/configuration_samples.hpp"
 #include <gtest/gtest.h>
--- a/tests/core/limiter_fleet.hpp
+++ b/tests/core/limiter_fleet.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/rate_limiter.hpp"
+#include "jackdawvane/limits/rate_limiter.hpp"
 
 #include <utility>
 
--- a/tests/core/membership_fleet.hpp
+++ b/tests/core/membership_fleet.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/membership.hpp"
+#include "jackdawvane/membership/membership.hpp"
 
 #include <functional>
 #include <memory>
--- a/tests/core/promotion_test.cpp
+++ b/tests/core/promotion_test.cpp
@@ -1,6 +1,6 @@
-#include "jackdawvane/promotion.hpp"
-#include "jackdawvane/random.hpp"
-#include "jackdawvane/report_exchange.hpp"
+#include "jackdawvane/failover/promotion.hpp"
+#include "jackdawvane/failover/report_exchange.hpp"
+#include "jackdawvane/foundation/random.hpp"
 
 #include <deque>
 #include <functional>
--- a/tests/core/router_test.cpp
+++ b/tests/core/router_test.cpp
@@ -1,7 +1,7 @@
-#include "jackdawvane/random.hpp"
-#include "jackdawvane/router.hpp"
-#include "jackdawvane/session_token.hpp"
-#include "jackdawvane/term_history.hpp"
+#include "jackdawvane/failover/term_history.hpp"
+#include "jackdawvane/foundation/random.hpp"
+#include "jackdawvane/routing/router.hpp"
+#include "jackdawvane/routing/session_token.hpp"
 
 #include <set>
 
--- a/tests/core/session_token_test.cpp
+++ b/tests/core/session_token_test.cpp
@@ -1,5 +1,5 @@
-#include "jackdawvane/random.hpp"
-#include "jackdawvane/session_token.hpp"
+#include "jackdawvane/foundation/random.hpp"
+#include "jackdawvane/routing/session_token.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/studies/capacity_fleet.hpp
+++ b/tests/studies/capacity_fleet.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "jackdawvane/json_codec.hpp"
-#include "jackdawvane/node.hpp"
+#include "jackdawvane/foundation/json_codec.hpp"
+#include "jackdawvane/node/node.hpp"
 
 #include <utility>
 
--- a/tests/studies/capacity_study.cpp
+++ b/tests/studies/capacity_study.cpp
@@ -4,8 +4,8 @@
 //        capacity_study configuration [BACKENDS]... document size, memory, decoding, placement
 //        capacity_study messages                    size and codec time of a forwarded request
 
-#include "jackdawvane/configuration_rules.hpp"
-#include "jackdawvane/owned_backends.hpp"
+#include "jackdawvane/backends/owned_backends.hpp"
+#include "jackdawvane/configuration/configuration_rules.hpp"
 
 #include <fstream>
 #include <iomanip>
--- a/tests/support/fake_backend.hpp
+++ b/tests/support/fake_backend.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "jackdawvane/backend.hpp"
-#include "jackdawvane/ports.hpp"
+#include "jackdawvane/node/backend.hpp"
+#include "jackdawvane/node/ports.hpp"
 
 #include <deque>
 #include <map>
--- a/tests/support/memory_ports.hpp
+++ b/tests/support/memory_ports.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/ports.hpp"
+#include "jackdawvane/node/ports.hpp"
 
 #include <utility>
 
