--- a/include/jackdawvane/adapters/decision_logger.hpp
+++ b/include/jackdawvane/adapters/decision_logger.hpp
@@ -20,13 +20,26 @@
          {log_level::error, "error"}}};
 };
 
+/// @brief Standard stream that log lines go to.
+enum class log_output { error, output };
+
+template <>
+struct enum_names<log_output> {
+    static constexpr std::array<std::pair<log_output, const char*>, 2> table{
+        {{log_output::error, "stderr"}, {log_output::output, "stdout"}}};
+};
+
 /// @brief Where log lines go and which ones.
 struct log_settings {
     log_level level{log_level::info};
-    std::string file; ///< Empty writes to the standard error stream.
+    std::string file;                     ///< Empty writes to a standard stream.
+    log_output output{log_output::error}; ///< Stream when there is no file.
+    std::uint32_t lines_per_second{0};    ///< Further lines are counted, not written; 0: all.
 
     static constexpr auto fields() {
-        return std::tuple{field("level", &log_settings::level), field("file", &log_settings::file)};
+        return std::tuple{field("level", &log_settings::level), field("file", &log_settings::file),
+                          field("output", &log_settings::output),
+                          field("lines_per_second", &log_settings::lines_per_second)};
     }
 };
 
@@ -40,7 +53,9 @@
     decision_logger& operator=(decision_logger&&) = delete;
     ~decision_logger();
 
-    /// @brief Writes @a line unless its level is too low.
+    /// @brief Writes @a line unless its level is too low or the second's lines are used up.
+    ///
+    /// Lines that are left out are counted, and the count is written with the next second.
     void write(const log_decision& line);
 
   private:
--- a/include/jackdawvane/adapters/http_client.hpp
+++ b/include/jackdawvane/adapters/http_client.hpp
@@ -54,7 +54,8 @@
     /// @param done gets `connection_lost` when the connection closes before the whole answer
     /// @pre connected and not `busy()`
     void request(std::string_view method, const std::string& target, std::string body,
-                 std::optional<duration> timeout, answer_callback done);
+                 std::optional<duration> timeout, answer_callback done,
+                 const std::vector<http_header>& headers = {});
 
     /// @brief Has @a callback called when the open connection closes while no request waits.
     void on_idle_close(close_callback callback);
--- /dev/null
+++ b/include/jackdawvane/adapters/proxy_host.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "jackdawvane/adapters/session_ports.hpp"
+#include "jackdawvane/node/action_dispatcher.hpp"
+#include "jackdawvane/sessions/session_proxy.hpp"
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
+namespace jackdawvane {
+
+/// @brief Makes the promotion calls of a proxy.
+class promotion_port {
+  public:
+    promotion_port() = default;
+    promotion_port(const promotion_port&) = delete;
+    promotion_port& operator=(const promotion_port&) = delete;
+    promotion_port(promotion_port&&) = delete;
+    promotion_port& operator=(promotion_port&&) = delete;
+    virtual ~promotion_port() = default;
+
+    /// @brief The answer comes back as `promotion_answered`.
+    virtual void promote(const promote_member& request) = 0;
+};
+
+/// @brief Ports of a proxy host.
+struct proxy_port_set {
+    session_port& sessions;
+    member_port& members;
+    promotion_port& promotions;
+    store_port& store;
+    peer_port& peers;
+    diagnostics_port& diagnostics;
+};
+
+/// @brief Drives a session proxy with Asio: one thread, one event at a time.
+class proxy_host {
+  public:
+    /// @param proxy outlives this object
+    /// @param on_stopped called once after the proxy has stopped
+    proxy_host(boost::asio::io_context& context, session_proxy& proxy,
+               std::function<void()> on_stopped);
+    proxy_host(const proxy_host&) = delete;
+    proxy_host& operator=(const proxy_host&) = delete;
+    proxy_host(proxy_host&&) = delete;
+    proxy_host& operator=(proxy_host&&) = delete;
+    ~proxy_host();
+
+    /// @brief Delivers the first tick.
+    void start(proxy_port_set ports);
+    /// @brief Hands an event to the proxy; safe to call from within an action.
+    void deliver(proxy_event&& input);
+    /// @brief Time that also passes while the machine is suspended.
+    [[nodiscard]] static time_point now();
+
+  private:
+    struct timer;
+
+    void handle_one(const proxy_event& input);
+    void schedule_tick(time_point present);
+
+    session_proxy& proxy_;
+    std::function<void()> on_stopped_;
+    std::unique_ptr<timer> timer_;
+    std::unique_ptr<proxy_port_set> ports_;
+    std::deque<proxy_event> pending_;
+    proxy_output batch_;
+    time_point scheduled_{no_deadline};
+    bool handling_{false};
+    bool stopped_{false};
+};
+
+} // namespace jackdawvane
--- /dev/null
+++ b/include/jackdawvane/adapters/session_codec.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "jackdawvane/sessions/ports.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace jackdawvane {
+
+/// @brief First line of a caller's session.
+struct caller_start {
+    route_name database;
+    std::string key;
+};
+
+/// @brief A caller ends its session.
+struct caller_end {};
+
+/// @brief A line that cannot be read.
+struct unreadable_line {
+    std::string reason;
+};
+
+/// @brief What a caller's line says.
+using caller_line = std::variant<caller_start, statement, caller_end, unreadable_line>;
+
+/// @brief One row of an answer.
+struct answer_row {
+    std::string text;
+};
+
+/// @brief A statement succeeded.
+struct answer_completed {
+    std::string signature;
+};
+
+/// @brief A statement or a start failed.
+struct answer_problem {
+    statement_error problem{statement_error::none};
+    std::string detail;
+};
+
+/// @brief End of an answer, or of the start.
+struct answer_ready {
+    transaction_state state{transaction_state::idle};
+    std::optional<log_point> position;
+};
+
+/// @brief What a backend server's line says.
+using backend_line =
+    std::variant<answer_row, answer_completed, answer_problem, answer_ready, unreadable_line>;
+
+/// @brief Text form of SQL sessions, one line a message.
+class session_codec {
+  public:
+    session_codec() = default;
+    session_codec(const session_codec&) = delete;
+    session_codec& operator=(const session_codec&) = delete;
+    session_codec(session_codec&&) = delete;
+    session_codec& operator=(session_codec&&) = delete;
+    virtual ~session_codec() = default;
+
+    [[nodiscard]] virtual caller_line read_caller(std::string_view line) const = 0;
+    [[nodiscard]] virtual backend_line read_backend(std::string_view line) const = 0;
+    /// @brief Status in a row of an answer; nothing when it is not one.
+    [[nodiscard]] virtual std::optional<member_status> read_status(std::string_view row) const = 0;
+
+    virtual void write_greeting(std::string& out) const = 0;
+    virtual void write_reply(const statement_reply& reply, std::string& out) const = 0;
+    virtual void write_problem(statement_error problem, std::string_view detail,
+                               std::string& out) const = 0;
+    virtual void write_start(const open_member& start, std::string& out) const = 0;
+    virtual void write_command(const backend_command& command, std::string& out) const = 0;
+};
+
+} // namespace jackdawvane
--- a/include/jackdawvane/adapters/store_port_adapter.hpp
+++ b/include/jackdawvane/adapters/store_port_adapter.hpp
@@ -1,14 +1,12 @@
 #pragma once
 
 #include "jackdawvane/adapters/event_sink.hpp"
+#include "jackdawvane/adapters/http_call_pool.hpp"
 #include "jackdawvane/foundation/time.hpp"
 #include "jackdawvane/node/ports.hpp"
 
 #include <cstdint>
-#include <deque>
-#include <memory>
 #include <string>
-#include <vector>
 
 namespace boost::asio {
 class io_context;
@@ -16,8 +14,6 @@
 
 namespace jackdawvane {
 
-class http_client;
-
 /// @brief Settings of the connections to the store.
 struct store_port_settings {
     endpoint store;
@@ -43,29 +39,17 @@
     void call(const store_request& request) override;
 
     /// @brief Calls that were put on a connection so far.
-    [[nodiscard]] std::uint64_t calls() const noexcept { return calls_; }
+    [[nodiscard]] std::uint64_t calls() const noexcept { return pool_.calls(); }
     /// @brief Calls that ended as `unavailable` so far.
     [[nodiscard]] std::uint64_t failures() const noexcept { return failures_; }
 
   private:
-    struct worker;
-    struct pending_call;
-
-    void start_next(worker& idle);
-    void open(worker& idle);
-    void run(worker& busy);
-    void finish(worker& busy, const store_answer& answer);
-    void drop_connection(worker& broken);
-    void answer_unavailable(request_id id);
+    void take(request_id id, const result<http_answer>& received);
 
-    boost::asio::io_context& context_;
     store_port_settings settings_;
     event_sink sink_;
-    std::vector<std::unique_ptr<worker>> workers_;
-    std::deque<pending_call> waiting_;
-    std::uint64_t calls_{0};
+    http_call_pool pool_;
     std::uint64_t failures_{0};
-    std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
 };
 
 } // namespace jackdawvane
--- a/include/jackdawvane/configuration/configuration.hpp
+++ b/include/jackdawvane/configuration/configuration.hpp
@@ -35,6 +35,21 @@
         {{isolation_mode::serve, "serve"}, {isolation_mode::refuse, "refuse"}}};
 };
 
+/// @brief Which state of the database a read on a route has to see.
+enum class consistency_mode {
+    read_your_writes,  ///< The session's own commits, and no state older than the route's age.
+    bounded_staleness, ///< No state older than the route's age.
+    primary,           ///< Every acknowledged commit.
+};
+
+template <>
+struct enum_names<consistency_mode> {
+    static constexpr std::array<std::pair<consistency_mode, const char*>, 3> table{
+        {{consistency_mode::read_your_writes, "read_your_writes"},
+         {consistency_mode::bounded_staleness, "bounded_staleness"},
+         {consistency_mode::primary, "primary"}}};
+};
+
 /// @brief Row of the routes table.
 struct route_row {
     pool_name pool;
@@ -45,6 +60,10 @@
     std::optional<std::uint32_t> max_staleness_ms; ///< Default for reads without a session.
     fencing_mode fencing{fencing_mode::majority};
     isolation_mode keys_when_isolated{isolation_mode::serve};
+    consistency_mode consistency{consistency_mode::read_your_writes};
+    std::uint32_t target_latency_ms{1000};   ///< Within this an operation should be answered.
+    std::uint32_t priority{1};               ///< 0 is served first when statements wait.
+    std::uint32_t transaction_idle_ms{3000}; ///< An idle transaction is rolled back after this.
 
     static constexpr auto fields() {
         return std::tuple{field("pool", &route_row::pool),
@@ -54,7 +73,11 @@
                           field("deadline_ms", &route_row::deadline_ms),
                           field("max_staleness_ms", &route_row::max_staleness_ms),
                           field("fencing", &route_row::fencing),
-                          field("keys_when_isolated", &route_row::keys_when_isolated)};
+                          field("keys_when_isolated", &route_row::keys_when_isolated),
+                          field("consistency", &route_row::consistency),
+                          field("target_latency_ms", &route_row::target_latency_ms),
+                          field("priority", &route_row::priority),
+                          field("transaction_idle_ms", &route_row::transaction_idle_ms)};
     }
 };
 
@@ -87,9 +110,15 @@
 /// @brief One database group: a primary and its replicas.
 struct group_row {
     std::map<backend_server_id, backend_server_row> backend_servers;
+    /// Connections that a backend server of the group accepts, from all VMs; for servers that
+    /// register themselves and have no row.
+    std::uint32_t connection_limit{20};
+    std::uint32_t sync_replicas{0}; ///< Replicas that have a commit before it is acknowledged.
 
     static constexpr auto fields() {
-        return std::tuple{field("backend_servers", &group_row::backend_servers)};
+        return std::tuple{field("backend_servers", &group_row::backend_servers),
+                          field("connection_limit", &group_row::connection_limit),
+                          field("sync_replicas", &group_row::sync_replicas)};
     }
 };
 
--- a/include/jackdawvane/node/peer.hpp
+++ b/include/jackdawvane/node/peer.hpp
@@ -6,6 +6,7 @@
 #include "jackdawvane/node/backend.hpp"
 #include "jackdawvane/node/caller.hpp"
 #include "jackdawvane/node/store.hpp"
+#include "jackdawvane/sessions/messages.hpp"
 
 #include <string>
 #include <variant>
@@ -320,11 +321,70 @@
     }
 };
 
+/// @brief Ask a VM what it knows of the backend servers.
+struct observation_query {
+    static constexpr const char* method = "observation.query";
+    std::uint64_t number{0};
+    std::uint64_t directory_version{0}; ///< Directory that the asker has.
+
+    static constexpr auto fields() {
+        return std::tuple{field("number", &observation_query::number),
+                          field("directory_version", &observation_query::directory_version)};
+    }
+};
+
+/// @brief Last status of one backend server.
+struct member_observation {
+    backend_server_id backend;
+    group_id group;
+    std::optional<member_status> status; ///< Absent when nothing listens at its address.
+    duration age{0}; ///< Time from before the status was asked until the reply was sent.
+
+    static constexpr auto fields() {
+        return std::tuple{field("backend", &member_observation::backend),
+                          field("group", &member_observation::group),
+                          field("status", &member_observation::status),
+                          field("age_us", &member_observation::age)};
+    }
+};
+
+/// @brief Answer to `observation_query`.
+struct observation_reply {
+    static constexpr const char* method = "observation.reply";
+    std::uint64_t number{0}; ///< Of the query.
+    std::vector<member_observation> members;
+    std::uint64_t directory_version{0};
+    duration directory_age{0};
+    std::vector<backend_registration> directory; ///< Empty when the asker has this version.
+
+    static constexpr auto fields() {
+        using self = observation_reply;
+        return std::tuple{field("number", &self::number), field("members", &self::members),
+                          field("directory_version", &self::directory_version),
+                          field("directory_age_us", &self::directory_age),
+                          field("directory", &self::directory)};
+    }
+};
+
+/// @brief All replicas of a group are held: its primary of `term` ends.
+struct group_hold {
+    static constexpr const char* method = "group.hold";
+    group_id group;
+    jackdawvane::term term;
+    duration age{0}; ///< Time since the last replica was held.
+
+    static constexpr auto fields() {
+        return std::tuple{field("group", &group_hold::group), field("term", &group_hold::term),
+                          field("age_us", &group_hold::age)};
+    }
+};
+
 /// @brief Every message between VMs.
 using peer_message =
     std::variant<group_report, group_summary, forward_request, forward_reply, membership_probe,
                  configuration_announce, configuration_pull, configuration_difference,
-                 token_request, token_grant, token_acknowledgement, share_request, share_notice>;
+                 token_request, token_grant, token_acknowledgement, share_request, share_notice,
+                 observation_query, observation_reply, group_hold>;
 
 /// @brief JSON-RPC method name of @a message.
 [[nodiscard]] const char* method_of(const peer_message& message) noexcept;
--- a/include/jackdawvane/node/store.hpp
+++ b/include/jackdawvane/node/store.hpp
@@ -3,6 +3,7 @@
 #include "jackdawvane/foundation/error.hpp"
 #include "jackdawvane/foundation/json_codec.hpp"
 #include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/node/backend.hpp"
 
 #include <utility>
 
@@ -24,17 +25,23 @@
     renew_lease,      ///< Create or renew the lease `key` for `lease` time with `value`.
     release_lease,    ///< End the lease `key`.
     list_vms,         ///< The VM list, answered once its version is past `version`.
+    acquire_lease,    ///< Create the lease `key` with `value` unless it exists.
+    keep_lease,       ///< Renew the lease `key`; `not_found` when it has ended.
+    list_backends,    ///< Backend servers that have registered themselves.
 };
 
 template <>
 struct enum_names<store_operation> {
-    static constexpr std::array<std::pair<store_operation, const char*>, 6> table{
+    static constexpr std::array<std::pair<store_operation, const char*>, 9> table{
         {{store_operation::read, "read"},
          {store_operation::watch, "watch"},
          {store_operation::compare_and_swap, "compare_and_swap"},
          {store_operation::renew_lease, "renew_lease"},
          {store_operation::release_lease, "release_lease"},
-         {store_operation::list_vms, "list_vms"}}};
+         {store_operation::list_vms, "list_vms"},
+         {store_operation::acquire_lease, "acquire_lease"},
+         {store_operation::keep_lease, "keep_lease"},
+         {store_operation::list_backends, "list_backends"}}};
 };
 
 /// @brief One call to the store.
@@ -45,7 +52,7 @@
     std::string value;
     std::uint64_t version{0}; ///< Expected or last seen version; 0 means absent or unseen.
     duration wait{0};         ///< `watch`, `list_vms`: longest time to hold the answer.
-    duration lease{0};        ///< `renew_lease`: duration of the lease.
+    duration lease{0};        ///< `renew_lease`, `acquire_lease`: duration of the lease.
 
     static constexpr auto fields() {
         return std::tuple{field("id", &store_request::id),
@@ -83,6 +90,33 @@
     friend bool operator==(const vm_entry&, const vm_entry&) = default;
 };
 
+/// @brief What a backend server says of itself in the platform's registry.
+struct backend_registration {
+    backend_server_id backend;
+    group_id group;
+    jackdawvane::endpoint endpoint;
+    failure_domain_id domain;
+    std::uint32_t slots{1}; ///< Statements that it runs at once.
+    bool leaving{false};    ///< Serves on for a while, then exits.
+    backend_role role{backend_role::replica};
+    duration warm_up_left{0};       ///< It is slow for this much longer.
+    std::uint64_t started_at_ms{0}; ///< Unix time of its start; a restart keeps the id.
+
+    static constexpr auto fields() {
+        using self = backend_registration;
+        return std::tuple{field("backend", &self::backend),
+                          field("group", &self::group),
+                          field("endpoint", &self::endpoint),
+                          field("domain", &self::domain),
+                          field("slots", &self::slots),
+                          field("leaving", &self::leaving),
+                          field("role", &self::role),
+                          field("warm_up_left_us", &self::warm_up_left),
+                          field("started_at_ms", &self::started_at_ms)};
+    }
+    friend bool operator==(const backend_registration&, const backend_registration&) = default;
+};
+
 /// @brief How a store call ended.
 enum class store_status {
     ok,
@@ -104,15 +138,16 @@
 struct store_answer {
     request_id id;
     store_status status{store_status::unavailable};
-    std::string value;         ///< Present value; empty when the key is absent.
-    std::uint64_t version{0};  ///< Present version of the key or list.
-    std::vector<vm_entry> vms; ///< `list_vms`: the whole list.
+    std::string value;                            ///< Present value; empty when the key is absent.
+    std::uint64_t version{0};                     ///< Present version of the key or list.
+    std::vector<vm_entry> vms;                    ///< `list_vms`: the whole list.
+    std::vector<backend_registration> backends{}; ///< `list_backends`: the whole list.
 
     static constexpr auto fields() {
-        return std::tuple{field("id", &store_answer::id), field("status", &store_answer::status),
-                          field("value", &store_answer::value),
-                          field("version", &store_answer::version),
-                          field("vms", &store_answer::vms)};
+        return std::tuple{
+            field("id", &store_answer::id),       field("status", &store_answer::status),
+            field("value", &store_answer::value), field("version", &store_answer::version),
+            field("vms", &store_answer::vms),     field("backends", &store_answer::backends)};
     }
 };
 
--- /dev/null
+++ b/include/jackdawvane/sessions/backend_directory.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "jackdawvane/foundation/time.hpp"
+#include "jackdawvane/node/store.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace jackdawvane {
+
+/// @brief Times of the directory.
+struct directory_settings {
+    /// A registration that lapsed while the registry was away is back within 2 s of its return.
+    duration return_grace{std::chrono::milliseconds{2200}};
+    /// A longer gap between two readings counts as an outage of the registry.
+    duration outage_gap{std::chrono::milliseconds{2500}};
+};
+
+/// @brief Backend servers that have registered themselves, as of the last reading.
+class backend_directory {
+  public:
+    /// @brief A registered backend server.
+    struct entry {
+        backend_registration registration;
+        time_point leaving_since{no_deadline}; ///< When it was first read as leaving.
+        time_point absent_since{no_deadline};  ///< Missing after an outage of the registry.
+    };
+
+    explicit backend_directory(directory_settings settings = {}) : settings_{settings} {}
+
+    /// @brief Takes a reading.
+    /// @param read_at time before the registry was asked
+    /// @param version the registry's version; readings older than the last are ignored
+    /// @return whether a backend server came, went or changed
+    bool update(time_point now, time_point read_at, std::uint64_t version,
+                const std::vector<backend_registration>& registrations);
+    /// @brief The reading of @a version was made again at @a read_at and is the same.
+    void confirm(time_point now, time_point read_at, std::uint64_t version);
+
+    [[nodiscard]] const std::map<backend_server_id, entry>& entries() const noexcept {
+        return entries_;
+    }
+    [[nodiscard]] const entry* find(const backend_server_id& backend) const;
+    /// @brief Backend servers of @a group.
+    [[nodiscard]] std::set<backend_server_id> members(const group_id& group) const;
+    [[nodiscard]] std::set<group_id> groups() const;
+
+    [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
+    [[nodiscard]] time_point read_at() const noexcept { return read_at_; }
+    [[nodiscard]] bool known() const noexcept { return known_; }
+    /// @brief Registrations for another VM.
+    [[nodiscard]] std::vector<backend_registration> registrations() const;
+
+  private:
+    directory_settings settings_;
+    std::map<backend_server_id, entry> entries_;
+    std::uint64_t version_{0};
+    time_point read_at_{time_point::min()};
+    time_point grace_until_{time_point::min()};
+    bool known_{false};
+};
+
+} // namespace jackdawvane
--- /dev/null
+++ b/include/jackdawvane/sessions/fleet_state.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "jackdawvane/configuration/configuration.hpp"
+#include "jackdawvane/sessions/backend_directory.hpp"
+#include "jackdawvane/sessions/group_leadership.hpp"
+
+#include <memory>
+#include <vector>
+
+namespace jackdawvane {
+
+/// @brief What the parts of a session proxy know in common.
+struct fleet_state {
+    vm_entry self;
+    std::vector<vm_entry> live; ///< VMs that are believed to be alive.
+    std::shared_ptr<const configuration_document> configuration;
+    backend_directory directory;
+    std::map<group_id, group_leadership> leaderships;
+    std::map<failure_domain_id, region_id> regions; ///< Region of each failure domain.
+
+    /// @brief Leadership of @a group; created when it is new.
+    group_leadership& leadership(const group_id& group) { return leaderships[group]; }
+
+    /// @brief Takes over the members of all groups from the directory.
+    void follow_directory() {
+        for (const auto& group : directory.groups()) {
+            leaderships[group].set_members(directory.members(group));
+        }
+    }
+
+    /// @brief Region of @a domain, or an empty one.
+    [[nodiscard]] region_id region_of(const failure_domain_id& domain) const {
+        const auto found = regions.find(domain);
+        return found == regions.end() ? region_id{} : found->second;
+    }
+
+    /// @brief Row of @a group, or null.
+    [[nodiscard]] const group_row* find_group(const group_id& group) const {
+        if (!configuration) {
+            return nullptr;
+        }
+        for (const auto& [name, pool] : configuration->pools) {
+            const auto found = pool.groups.find(group);
+            if (found != pool.groups.end()) {
+                return &found->second;
+            }
+        }
+        return nullptr;
+    }
+};
+
+} // namespace jackdawvane
--- a/src/adapters/decision_logger.cpp
+++ b/src/adapters/decision_logger.cpp
@@ -1,5 +1,9 @@
 #include "jackdawvane/adapters/decision_logger.hpp"
 
+#include <utility>
+
+#include <chrono>
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
@@ -31,7 +35,7 @@
 log4cplus::SharedAppenderPtr make_appender(const log_settings& settings) {
     log4cplus::SharedAppenderPtr appender;
     if (settings.file.empty()) {
-        appender = new log4cplus::ConsoleAppender{true, true};
+        appender = new log4cplus::ConsoleAppender{settings.output == log_output::error, true};
     } else {
         appender = new log4cplus::RollingFileAppender{settings.file, file_size_limit, kept_files};
     }
@@ -43,12 +47,17 @@
 
 struct decision_logger::backend {
     log4cplus::Logger logger{log4cplus::Logger::getInstance("jackdawvane")};
+    std::uint32_t limit{0}; ///< Lines per second; 0 for all.
+    std::chrono::steady_clock::time_point second{};
+    std::uint32_t written{0};
+    std::uint64_t left_out{0};
 };
 
 decision_logger::decision_logger(const log_settings& settings) {
     // log4cplus cannot be initialised a second time after its end.
     static const log4cplus::Initializer initializer;
     backend_ = std::make_unique<backend>();
+    backend_->limit = settings.lines_per_second;
     backend_->logger.setAdditivity(false);
     backend_->logger.setLogLevel(to_log4cplus(settings.level));
     backend_->logger.removeAllAppenders();
@@ -64,6 +73,19 @@
     if (!backend_->logger.isEnabledFor(level)) {
         return;
     }
+    const auto now = std::chrono::steady_clock::now();
+    if (now - backend_->second >= std::chrono::seconds{1}) {
+        backend_->second = now;
+        backend_->written = 0;
+        if (const auto left_out = std::exchange(backend_->left_out, 0); left_out > 0) {
+            backend_->logger.forcedLog(log4cplus::WARN_LOG_LEVEL,
+                                       "[log] left_out=" + std::to_string(left_out));
+        }
+    }
+    if (backend_->limit > 0 && ++backend_->written > backend_->limit) {
+        ++backend_->left_out;
+        return;
+    }
     std::string text{"["};
     text += line.part;
     text += "] ";
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -32,7 +32,8 @@
 
     void connect(http_client::connect_callback done);
     void request(std::string_view method, const std::string& target, std::string body,
-                 std::optional<duration> timeout, http_client::answer_callback done);
+                 std::optional<duration> timeout, http_client::answer_callback done,
+                 const std::vector<http_header>& headers);
     void on_idle_close(http_client::close_callback callback) {
         idle_close_callback_ = std::move(callback);
     }
@@ -138,7 +139,8 @@
 
 void http_client_connection::request(std::string_view method, const std::string& target,
                                      std::string body, std::optional<duration> timeout,
-                                     http_client::answer_callback done) {
+                                     http_client::answer_callback done,
+                                     const std::vector<http_header>& headers) {
     answer_callback_ = std::move(done);
     if (!connected_) {
         asio::post(socket_.get_executor(), [self = shared_from_this()] {
@@ -151,6 +153,9 @@
     request_.method_string({method.data(), method.size()});
     request_.target(target);
     request_.set(http::field::host, host_);
+    for (const auto& header : headers) {
+        request_.set(header.name, header.value);
+    }
     request_.body() = std::move(body);
     request_.prepare_payload();
     if (timeout) {
@@ -280,8 +285,9 @@
 }
 
 void http_client::request(std::string_view method, const std::string& target, std::string body,
-                          std::optional<duration> timeout, answer_callback done) {
-    connection_->request(method, target, std::move(body), timeout, std::move(done));
+                          std::optional<duration> timeout, answer_callback done,
+                          const std::vector<http_header>& headers) {
+    connection_->request(method, target, std::move(body), timeout, std::move(done), headers);
 }
 
 void http_client::on_idle_close(close_callback callback) {
--- /dev/null
+++ b/src/adapters/line_stream.cpp
@@ -0,0 +1,206 @@
+#include "line_stream.hpp"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <netinet/tcp.h>
+
+namespace jackdawvane::detail {
+
+namespace {
+
+constexpr std::size_t read_size = 4096;
+/// A peer that does not read is given up when this much waits for it.
+constexpr std::size_t output_limit = std::size_t{8} * 1024 * 1024;
+// A peer that lost power or is cut off answers nothing; these end the connection after about
+// four seconds, in which the platform's balancer has taken the peer out as well.
+constexpr int keep_alive_idle_s = 2;
+constexpr int keep_alive_interval_s = 1;
+constexpr int keep_alive_probes = 2;
+constexpr int unacknowledged_limit_ms = 4000;
+
+using tcp_keep_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using tcp_keep_interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using tcp_keep_count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+using tcp_user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+} // namespace
+
+line_stream::line_stream(tcp_socket socket, std::size_t line_limit)
+    : socket_{std::move(socket)}, line_limit_{line_limit} {}
+
+line_stream::line_stream(asio::io_context& context, std::size_t line_limit)
+    : socket_{context.get_executor()}, line_limit_{line_limit} {}
+
+/// Options are best effort: without them a dead peer is found later, by a timeout.
+void line_stream::prepare_socket() {
+    error_code ignored;
+    socket_.set_option(tcp::no_delay{true}, ignored);
+    socket_.set_option(asio::socket_base::keep_alive{true}, ignored);
+    socket_.set_option(tcp_keep_idle{keep_alive_idle_s}, ignored);
+    socket_.set_option(tcp_keep_interval{keep_alive_interval_s}, ignored);
+    socket_.set_option(tcp_keep_count{keep_alive_probes}, ignored);
+    socket_.set_option(tcp_user_timeout{unacknowledged_limit_ms}, ignored);
+}
+
+void line_stream::connect(const endpoint& remote, const std::string& local_address) {
+    error_code failure;
+    const auto address = asio::ip::make_address(remote.address, failure);
+    if (!failure) {
+        socket_.open(address.is_v6() ? tcp::v6() : tcp::v4(), failure);
+    }
+    if (!failure && !local_address.empty()) {
+        socket_.bind({asio::ip::make_address(local_address, failure), 0}, failure);
+    }
+    if (failure) {
+        asio::post(socket_.get_executor(),
+                   [self = shared_from_this()] { self->end(stream_end::lost); });
+        return;
+    }
+    prepare_socket();
+    socket_.async_connect({address, remote.port}, [self = shared_from_this()](error_code result) {
+        if (self->closed_) {
+            return;
+        }
+        if (result) {
+            self->end(result == asio::error::connection_refused ? stream_end::refused
+                                                                : stream_end::lost);
+            return;
+        }
+        self->open_ = true;
+        self->read();
+        self->flush();
+    });
+}
+
+void line_stream::start() {
+    open_ = true;
+    prepare_socket();
+    read();
+}
+
+void line_stream::read() {
+    const auto kept = input_.size();
+    input_.resize(kept + read_size);
+    socket_.async_read_some(
+        asio::buffer(input_.data() + kept, read_size),
+        [self = shared_from_this(), kept](error_code failure, std::size_t size) {
+            if (self->closed_) {
+                return;
+            }
+            self->input_.resize(kept + (failure ? 0 : size));
+            self->on_read(failure, size);
+        });
+}
+
+void line_stream::on_read(error_code failure, std::size_t /*size*/) {
+    if (failure) {
+        end(stream_end::lost);
+        return;
+    }
+    take_lines();
+    if (closed_) {
+        return;
+    }
+    if (input_.size() > line_limit_) {
+        end(stream_end::line_too_long);
+        return;
+    }
+    read();
+}
+
+void line_stream::take_lines() {
+    std::size_t begin = 0;
+    while (!closed_) {
+        const auto found = input_.find('\n', begin);
+        if (found == std::string::npos) {
+            break;
+        }
+        auto length = found - begin;
+        if (length > 0 && input_[found - 1] == '\r') {
+            --length;
+        }
+        const std::string line{input_, begin, length};
+        begin = found + 1;
+        if (on_line_) {
+            on_line_(line);
+        }
+    }
+    if (!closed_) {
+        input_.erase(0, begin);
+    }
+}
+
+void line_stream::write(std::string_view text) {
+    if (closed_) {
+        return;
+    }
+    output_ += text;
+    if (output_.size() > output_limit) {
+        asio::post(socket_.get_executor(),
+                   [self = shared_from_this()] { self->end(stream_end::lost); });
+        return;
+    }
+    if (open_ && !flush_posted_ && !write_pending_) {
+        flush_posted_ = true;
+        asio::post(socket_.get_executor(), [self = shared_from_this()] {
+            self->flush_posted_ = false;
+            self->flush();
+        });
+    }
+}
+
+void line_stream::flush() {
+    if (closed_ || write_pending_) {
+        return;
+    }
+    if (output_.empty()) {
+        if (close_when_written_) {
+            close();
+        }
+        return;
+    }
+    writing_ = std::exchange(output_, {});
+    write_pending_ = true;
+    asio::async_write(socket_, asio::buffer(writing_),
+                      [self = shared_from_this()](error_code failure, std::size_t) {
+                          self->write_pending_ = false;
+                          if (self->closed_) {
+                              return;
+                          }
+                          if (failure) {
+                              self->end(stream_end::lost);
+                              return;
+                          }
+                          self->flush();
+                      });
+}
+
+void line_stream::end(stream_end reason) {
+    if (closed_) {
+        return;
+    }
+    const auto ended = std::exchange(on_end_, nullptr);
+    close();
+    if (ended) {
+        ended(reason);
+    }
+}
+
+void line_stream::close() {
+    closed_ = true;
+    on_line_ = nullptr;
+    on_end_ = nullptr;
+    error_code ignored;
+    socket_.close(ignored);
+}
+
+void line_stream::close_after_write() {
+    close_when_written_ = true;
+    on_line_ = nullptr;
+    on_end_ = nullptr;
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->flush(); });
+}
+
+} // namespace jackdawvane::detail
--- /dev/null
+++ b/src/core/sessions/backend_directory.cpp
@@ -0,0 +1,89 @@
+#include "jackdawvane/sessions/backend_directory.hpp"
+
+#include <utility>
+
+#include <algorithm>
+
+namespace jackdawvane {
+
+bool backend_directory::update(time_point now, time_point read_at, std::uint64_t version,
+                               const std::vector<backend_registration>& registrations) {
+    if (known_ && version < version_) {
+        return false;
+    }
+    if (known_ && read_at - read_at_ > settings_.outage_gap) {
+        grace_until_ = now + settings_.return_grace;
+    }
+    known_ = true;
+    version_ = version;
+    read_at_ = std::max(read_at_, read_at);
+    bool changed = false;
+    std::set<backend_server_id> present;
+    for (const auto& registration : registrations) {
+        present.insert(registration.backend);
+        auto& own = entries_[registration.backend];
+        changed = changed || own.registration != registration;
+        own.registration = registration;
+        own.absent_since = no_deadline;
+        if (!registration.leaving) {
+            own.leaving_since = no_deadline;
+        } else if (own.leaving_since == no_deadline) {
+            own.leaving_since = now;
+        }
+    }
+    for (auto it = entries_.begin(); it != entries_.end();) {
+        if (present.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        it->second.absent_since = std::min(it->second.absent_since, now);
+        if (now < grace_until_) {
+            ++it;
+            continue;
+        }
+        changed = true;
+        it = entries_.erase(it);
+    }
+    return changed;
+}
+
+void backend_directory::confirm(time_point now, time_point read_at, std::uint64_t version) {
+    if (known_ && version == version_) {
+        update(now, read_at, version, registrations());
+    }
+}
+
+const backend_directory::entry* backend_directory::find(const backend_server_id& backend) const {
+    const auto found = entries_.find(backend);
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
+std::set<backend_server_id> backend_directory::members(const group_id& group) const {
+    std::set<backend_server_id> found;
+    for (const auto& [backend, own] : entries_) {
+        if (own.registration.group == group) {
+            found.insert(backend);
+        }
+    }
+    return found;
+}
+
+std::set<group_id> backend_directory::groups() const {
+    std::set<group_id> found;
+    for (const auto& [backend, own] : entries_) {
+        found.insert(own.registration.group);
+    }
+    return found;
+}
+
+std::vector<backend_registration> backend_directory::registrations() const {
+    std::vector<backend_registration> all;
+    for (const auto& [backend, own] : entries_) {
+        if (own.absent_since == no_deadline) {
+            all.push_back(own.registration);
+        }
+    }
+    return all;
+}
+
+} // namespace jackdawvane
--- /dev/null
+++ b/src/core/sessions/group_leadership.cpp
@@ -0,0 +1,159 @@
+#include "jackdawvane/sessions/group_leadership.hpp"
+
+#include <utility>
+
+#include <algorithm>
+
+namespace jackdawvane {
+
+void group_leadership::set_members(std::set<backend_server_id> members) {
+    members_ = std::move(members);
+    const auto left = [&](const auto& entry) { return !members_.contains(entry.first); };
+    std::erase_if(evidence_, left);
+    std::erase_if(received_, left);
+    update_proof();
+}
+
+void group_leadership::on_status(time_point now, time_point asked, const backend_server_id& member,
+                                 const member_status& status) {
+    auto& own = evidence_[member];
+    if (asked < own.asked) {
+        return;
+    }
+    highest_ = std::max({highest_, status.term, status.held_term});
+    received_[member] = status.received;
+    if (status.role == backend_role::primary && status.term > term_) {
+        new_term(now, status.term, member);
+    }
+    if (primary_ == member && status.term == term_) {
+        stepped_down_ = status.role != backend_role::primary;
+        primary_seen_ = std::max(primary_seen_, asked);
+    }
+    own = {asked, status.term <= term_ && status.held_term <= term_, status.held_term > term_,
+           false};
+    update_proof();
+    if (primary_ == member && status.role == backend_role::primary) {
+        add_sample(asked, status.received);
+    }
+}
+
+void group_leadership::new_term(time_point now, jackdawvane::term newer,
+                                const backend_server_id& primary) {
+    const auto closed_at = closed() ? std::min(closed_since_, now) : now;
+    // Another VM may hold proof of the term before for that long.
+    usable_from_ = closed_at + settings_.proof_validity;
+    term_ = newer;
+    primary_ = primary;
+    stepped_down_ = false;
+    confirmed_at_ = time_point::min();
+    primary_seen_ = time_point::min();
+    samples_.clear();
+    for (auto& [member, own] : evidence_) {
+        own.free = false;
+    }
+}
+
+void group_leadership::on_refused(time_point asked, const backend_server_id& member) {
+    auto& own = evidence_[member];
+    if (asked >= own.asked) {
+        own = {asked, false, false, true};
+        update_proof();
+    }
+}
+
+void group_leadership::on_hold(time_point since, jackdawvane::term closed) {
+    if (closed > closed_term_ || closed_since_ == time_point::max()) {
+        closed_term_ = closed;
+        closed_since_ = since;
+    }
+}
+
+/// One replica that is not held is proof. Replicas that are down prove it only together: any of
+/// the others could have been promoted.
+void group_leadership::update_proof() {
+    auto all_down = time_point::max();
+    bool others = false;
+    for (const auto& member : members_) {
+        if (primary_ == member) {
+            continue;
+        }
+        others = true;
+        const auto found = evidence_.find(member);
+        if (found == evidence_.end()) {
+            all_down = time_point::min();
+            continue;
+        }
+        const auto& own = found->second;
+        if (own.free && closed() && own.asked > closed_since_ + settings_.reopen_after) {
+            closed_since_ = time_point::max(); // The promotion was given up and the hold ended.
+        }
+        if (own.free) {
+            confirmed_at_ = std::max(confirmed_at_, own.asked);
+        }
+        all_down = own.refused ? std::min(all_down, own.asked) : time_point::min();
+    }
+    if (!others) {
+        confirmed_at_ = std::max(confirmed_at_, primary_seen_);
+    } else if (all_down != time_point::max()) {
+        confirmed_at_ = std::max(confirmed_at_, all_down);
+    }
+}
+
+bool group_leadership::closed() const noexcept {
+    return closed_since_ != time_point::max() && closed_term_ >= term_;
+}
+
+bool group_leadership::confirmed(time_point now) const noexcept {
+    if (!primary_ || stepped_down_ || now < usable_from_ || closed() ||
+        confirmed_at_ == time_point::min() || now - confirmed_at_ >= settings_.proof_validity) {
+        return false;
+    }
+    // A hold in progress ends the term soon; statements sent now would end as unknown.
+    return std::none_of(evidence_.begin(), evidence_.end(),
+                        [](const auto& entry) { return entry.second.held; });
+}
+
+void group_leadership::on_position(time_point asked, const backend_server_id& member,
+                                   const log_point& position) {
+    received_[member] = position;
+    if (primary_ == member && !stepped_down_) {
+        primary_seen_ = std::max(primary_seen_, asked);
+        add_sample(asked, position);
+    }
+}
+
+void group_leadership::add_sample(time_point asked, const log_point& position) {
+    if (confirmed_at_ == time_point::min() || asked - confirmed_at_ >= settings_.proof_validity) {
+        return;
+    }
+    if (!samples_.empty() && asked - samples_.back().asked < settings_.sample_distance) {
+        return;
+    }
+    samples_.push_back({asked, position});
+    while (samples_.size() > 1 && asked - samples_[1].asked > settings_.history) {
+        samples_.pop_front();
+    }
+}
+
+std::optional<log_point> group_leadership::point_since(time_point when) const noexcept {
+    const auto found =
+        std::lower_bound(samples_.begin(), samples_.end(), when,
+                         [](const sample& each, time_point limit) { return each.asked < limit; });
+    return found == samples_.end() ? std::nullopt : std::optional{found->point};
+}
+
+std::optional<log_point> group_leadership::newest_point() const noexcept {
+    return samples_.empty() ? std::nullopt : std::optional{samples_.back().point};
+}
+
+std::optional<log_point> group_leadership::received(const backend_server_id& member) const {
+    const auto found = received_.find(member);
+    return found == received_.end() ? std::nullopt : std::optional{found->second};
+}
+
+bool group_leadership::held(const backend_server_id& member) const {
+    const auto found = evidence_.find(member);
+    return found != evidence_.end() && found->second.held;
+}
+
+} // namespace jackdawvane
--- /dev/null
+++ b/src/core/sessions/session_proxy.cpp
@@ -0,0 +1,344 @@
+#include "jackdawvane/sessions/session_proxy.hpp"
+
+#include "jackdawvane/membership/placement.hpp"
+
+#include <utility>
+
+#include <algorithm>
+
+namespace jackdawvane {
+
+namespace {
+
+constexpr const char* duty_task = "promotion";
+/// Resolution of the lease and connection timers.
+constexpr duration slow_tick = std::chrono::milliseconds{50};
+/// Time for the store to take back what this VM holds, when it has no other work left.
+constexpr duration return_limit = std::chrono::milliseconds{700};
+
+fleet_state make_state(const session_proxy_settings& settings) {
+    fleet_state state;
+    state.self = settings.self;
+    state.live = {settings.self};
+    state.regions = settings.regions;
+    return state;
+}
+
+membership_settings fleet_settings(const session_proxy_settings& settings) {
+    membership_settings fleet;
+    fleet.self = settings.self;
+    fleet.incarnation = settings.incarnation;
+    fleet.seeds = settings.seeds;
+    return fleet;
+}
+
+configuration_replica_settings replica_settings(const session_proxy_settings& settings) {
+    configuration_replica_settings replica;
+    replica.self = settings.self.vm;
+    replica.domain = settings.self.place.domain;
+    return replica;
+}
+
+rate_limiter_settings limiter_settings(const session_proxy_settings& settings) {
+    rate_limiter_settings limits;
+    limits.pending = settings.token_wait;
+    limits.lease = settings.lease_duration;
+    limits.lease_renewal = settings.lease_renewal;
+    limits.holders_per_domain = static_cast<std::uint32_t>(settings.holders_per_domain);
+    return limits;
+}
+
+} // namespace
+
+session_proxy::session_proxy(const session_proxy_settings& settings)
+    : settings_{settings}, random_{settings.random_seed}, state_{make_state(settings)},
+      members_{fleet_settings(settings), request_ids_, random_},
+      configuration_{replica_settings(settings), request_ids_, random_},
+      limiter_{settings.self.vm,           settings.incarnation, settings.self.place,
+               limiter_settings(settings), request_ids_,         random_},
+      registration_{settings.self, settings.registration, request_ids_},
+      duty_{settings.self.vm, settings.duty, request_ids_}, observer_{state_, settings.observer,
+                                                                      connection_ids_,
+                                                                      request_ids_},
+      promotion_{state_, observer_, duty_, settings.promotion},
+      backends_{state_, settings.backends, connection_ids_}, executor_{state_, backends_, *this,
+                                                                       settings.executor} {}
+
+void session_proxy::handle(time_point now, const proxy_event& what, proxy_output& out) {
+    check_pause(now, out);
+    std::visit([&](const auto& body) { on(now, body, out); }, what);
+    run_due(now, out);
+    settle(now, out);
+}
+
+void session_proxy::check_pause(time_point now, proxy_output& out) {
+    if (!members_.paused_since_last_event(now)) {
+        return;
+    }
+    log(out.common, "proxy", log_level::warning, "this VM was paused; leases are checked again");
+    limiter_.paused(now, out.common);
+    duty_.paused(out.common);
+}
+
+void session_proxy::run_due(time_point now, proxy_output& out) {
+    if (members_.next_deadline() <= now) {
+        members_.tick(now, out.common);
+    }
+    if (configuration_.next_deadline() <= now) {
+        configuration_.tick(now, out.common);
+    }
+    if (limiter_.next_deadline() <= now) {
+        limiter_.tick(now, out.common);
+    }
+    if (now >= next_slow_tick_) {
+        next_slow_tick_ = now + slow_tick;
+        registration_.tick(now, out.common);
+        duty_.tick(now, duty_rank_, out.common);
+        backends_.tick(now, out);
+    }
+    observer_.set_always_active(duty_.held(now));
+    if (observer_.next_deadline() <= now) {
+        observer_.tick(now, out);
+        promotion_.tick(now, out);
+    }
+    if (executor_.next_deadline() <= now) {
+        executor_.tick(now, out);
+    }
+}
+
+time_point session_proxy::next_deadline() const {
+    return std::min({members_.next_deadline(), configuration_.next_deadline(),
+                     limiter_.next_deadline(), next_slow_tick_, observer_.next_deadline(),
+                     executor_.next_deadline()});
+}
+
+void session_proxy::settle(time_point now, proxy_output& out) {
+    follow_configuration(now, out);
+    follow_fleet(now, out);
+    for (const auto& decision : limiter_.take_decisions()) {
+        executor_.on_admission(now, decision, out);
+    }
+    for (const auto& answer : observer_.take_answers()) {
+        promotion_.on_control(now, answer, out);
+    }
+    executor_.settle(now, out);
+    report_readiness(out);
+    if (leaving_) {
+        finish_leaving(now, out);
+    }
+}
+
+void session_proxy::follow_configuration(time_point now, proxy_output& out) {
+    if (configuration_.present() == applied_revision_) {
+        return;
+    }
+    applied_revision_ = configuration_.present();
+    state_.configuration = configuration_.document();
+    members_.set_revision(applied_revision_);
+    limiter_.configure(now, state_.configuration->organisations, applied_revision_, out.common);
+}
+
+void session_proxy::follow_fleet(time_point now, proxy_output& out) {
+    if (members_.version() == fleet_version_) {
+        return;
+    }
+    fleet_version_ = members_.version();
+    state_.live = members_.live();
+    configuration_.on_membership(now, state_.live, out.common);
+    const auto gone = members_.gone();
+    limiter_.set_fleet(now, state_.live, std::set<vm_id>{gone.begin(), gone.end()}, out.common);
+    std::vector<vm_entry> staying;
+    std::copy_if(state_.live.begin(), state_.live.end(), std::back_inserter(staying),
+                 [](const vm_entry& vm) { return vm.state == vm_state::live; });
+    const auto ranked = rank_vms(duty_task, staying);
+    const auto own = std::find(ranked.begin(), ranked.end(), settings_.self.vm);
+    duty_rank_ = static_cast<std::size_t>(own - ranked.begin());
+    log(out.common, "fleet", log_level::info,
+        "version=" + std::to_string(fleet_version_) +
+            " live=" + std::to_string(state_.live.size()) + " gone=" + std::to_string(gone.size()));
+}
+
+bool session_proxy::ready() const noexcept {
+    return !leaving_ && state_.configuration != nullptr && state_.directory.known();
+}
+
+void session_proxy::report_readiness(proxy_output& out) {
+    if (ready() == reported_ready_) {
+        return;
+    }
+    reported_ready_ = ready();
+    log(out.common, "proxy", log_level::info,
+        std::string{"ready="} + (reported_ready_ ? "1" : "0") +
+            " revision=" + std::to_string(applied_revision_.value()));
+}
+
+void session_proxy::finish_leaving(time_point now, proxy_output& out) {
+    if (stopped_ || !executor_.left(now)) {
+        return;
+    }
+    if (!limiter_.left() && executor_.sessions() == 0 && now < return_at_ + return_limit) {
+        return;
+    }
+    stopped_ = true;
+    log(out.common, "proxy", log_level::info,
+        "stopped sessions=" + std::to_string(executor_.sessions()));
+    observer_.leave(out);
+    backends_.leave(out);
+    out.common.emplace_back(stopped{});
+}
+
+admission session_proxy::admit(time_point now, session_id session,
+                               const organisation_id& organisation, time_point deadline,
+                               actions& out) {
+    const request_id handle{session.value()};
+    if (!state_.configuration->organisations.contains(organisation)) {
+        return {handle, admission_state::admitted, {error_kind::none, {}, {}}};
+    }
+    return limiter_.admit(now, organisation, handle, deadline, out);
+}
+
+void session_proxy::withdraw(session_id session) {
+    limiter_.withdraw(request_id{session.value()});
+}
+
+Json::Value session_proxy::describe() const {
+    Json::Value json{Json::objectValue};
+    json["vm"] = to_json(settings_.self);
+    json["revision"] = to_json(applied_revision_);
+    json["sessions"] = static_cast<Json::UInt64>(executor_.sessions());
+    json["waiting"] = static_cast<Json::UInt64>(executor_.waiting());
+    json["backend_connections"] = static_cast<Json::UInt64>(backends_.size());
+    json["limits"] = limiter_.describe();
+    for (const auto& vm : state_.live) {
+        json["fleet"].append(to_json(vm));
+    }
+    for (const auto& [group, leadership] : state_.leaderships) {
+        auto& own = json["groups"][group.str()];
+        own["term"] = to_json(leadership.term());
+        own["primary"] = leadership.primary() ? leadership.primary()->str() : "";
+    }
+    return json;
+}
+
+// Events.
+
+void session_proxy::on(time_point now, const session_started& what, proxy_output& out) {
+    executor_.on(now, what, out);
+}
+
+void session_proxy::on(time_point now, const statement_received& what, proxy_output& out) {
+    executor_.on(now, what, out);
+}
+
+void session_proxy::on(time_point now, const session_broken& what, proxy_output& out) {
+    executor_.on(now, what, out);
+}
+
+void session_proxy::on(time_point now, const session_closed& what, proxy_output& out) {
+    executor_.on(now, what, out);
+}
+
+void session_proxy::on(time_point now, const member_ready& what, proxy_output& out) {
+    if (!observer_.on_ready(now, what, out)) {
+        backends_.on_ready(now, what, out);
+    }
+}
+
+void session_proxy::on(time_point now, const member_closed& what, proxy_output& out) {
+    if (!observer_.on_closed(now, what, out)) {
+        backends_.on_closed(now, what, out);
+    }
+}
+
+void session_proxy::on(time_point now, const member_replied& what, proxy_output& out) {
+    if (!observer_.on_reply(now, what, out)) {
+        backends_.on_reply(now, what, out);
+    }
+}
+
+void session_proxy::on(time_point now, const promotion_answered& what, proxy_output& out) {
+    promotion_.on_promotion(now, what, out);
+}
+
+void session_proxy::on(time_point now, const store_answer& what, proxy_output& out) {
+    if (what.status != store_status::unavailable) {
+        members_.on_store_heard(now);
+    }
+    if (!members_.on_store(now, what, out.common) &&
+        !configuration_.on_store(now, what, out.common) &&
+        !limiter_.on_store(now, what, out.common) && !registration_.on_store(now, what) &&
+        !duty_.on_store(now, what, out.common) && !observer_.on_store(now, what, out)) {
+        log(out.common, "store", log_level::debug, "answer to a call that was given up");
+    }
+}
+
+void session_proxy::on(time_point now, const peer_received& what, proxy_output& out) {
+    std::visit([&](const auto& message) { receive(now, what, message, out); }, what.message);
+}
+
+void session_proxy::on(time_point now, const peer_disconnected& what, proxy_output& out) {
+    members_.on_disconnected(now, what.vm, out.common);
+}
+
+void session_proxy::on(time_point now, const stop_requested& /*what*/, proxy_output& out) {
+    if (std::exchange(leaving_, true)) {
+        return;
+    }
+    log(out.common, "proxy", log_level::info,
+        "leaving sessions=" + std::to_string(executor_.sessions()));
+    return_at_ = now;
+    duty_.leave(out.common);
+    registration_.leave(out.common);
+    members_.leave(now, out.common);
+    limiter_.leave(now, out.common);
+    executor_.leave(now);
+}
+
+void session_proxy::on(time_point /*now*/, const timer_tick& /*what*/, proxy_output& /*out*/) {}
+
+void session_proxy::receive(time_point now, const peer_received& from,
+                            const membership_probe& message, proxy_output& out) {
+    members_.on_probe(now, from.from, from.from_incarnation, message, out.common);
+    configuration_.on_peer_revision(now, from.from, message.revision, out.common);
+}
+
+void session_proxy::receive(time_point now, const peer_received& from,
+                            const configuration_announce& message, proxy_output& out) {
+    configuration_.on_announce(now, from.from, message, out.common);
+}
+
+void session_proxy::receive(time_point /*now*/, const peer_received& from,
+                            const configuration_pull& message, proxy_output& out) {
+    configuration_.on_pull(from.from, message, out.common);
+}
+
+void session_proxy::receive(time_point now, const peer_received& from,
+                            const configuration_difference& message, proxy_output& out) {
+    configuration_.on_difference(now, from.from, message, out.common);
+}
+
+void session_proxy::receive(time_point now, const peer_received& from,
+                            const observation_query& message, proxy_output& out) {
+    observer_.on_query(now, from.from, message, out);
+}
+
+void session_proxy::receive(time_point now, const peer_received& from,
+                            const observation_reply& message, proxy_output& out) {
+    observer_.on_answer(now, from.from, message, out);
+}
+
+void session_proxy::receive(time_point now, const peer_received& from, const group_hold& message,
+                            proxy_output& out) {
+    state_.leadership(message.group).on_hold(now - message.age, message.term);
+    log(out.common, "promotion", log_level::info,
+        "hold group=" + message.group.str() + " term=" + std::to_string(message.term.value()) +
+            " from=" + from.from.str());
+}
+
+template <class Message>
+void session_proxy::receive(time_point now, const peer_received& from, const Message& /*message*/,
+                            proxy_output& out) {
+    limiter_.on_peer(now, from.from, from.message, out.common);
+}
+
+} // namespace jackdawvane
--- /dev/null
+++ b/src/core/sessions/statement_executor.cpp
@@ -0,0 +1,384 @@
+#include "jackdawvane/sessions/statement_executor.hpp"
+
+#include "jackdawvane/configuration/key_registry.hpp"
+
+#include <utility>
+
+#include <algorithm>
+
+namespace jackdawvane {
+
+namespace {
+
+constexpr duration busy_tick = std::chrono::milliseconds{10};
+constexpr duration idle_tick = std::chrono::milliseconds{100};
+
+statement_reply own_reply(transaction_state state) {
+    statement_reply reply;
+    reply.signature = "-";
+    reply.state = state;
+    return reply;
+}
+
+} // namespace
+
+statement_executor::statement_executor(fleet_state& state, backend_sessions& backends,
+                                       admission_service& limits, executor_settings settings)
+    : state_{state}, backends_{backends}, limits_{limits}, settings_{settings} {}
+
+void statement_executor::on(time_point now, const session_started& what, proxy_output& out) {
+    caller_session session;
+    session.id = what.session;
+    session.database = what.database;
+    session.key = digest_of(what.key);
+    session.last_activity = now;
+    const auto problem = select_route(session);
+    if (problem) {
+        log(out.common, "session", log_level::info,
+            "rejected session=" + std::to_string(what.session.value()) +
+                " database=" + what.database.str() + " reason=\"" + problem->detail + "\"");
+        count(out.common, "sessions_rejected_total", "reason", problem->detail);
+        out.sessions.emplace_back(reject_session{what.session, problem->problem, problem->detail});
+        return;
+    }
+    sessions_[what.session] = std::move(session);
+    out.sessions.emplace_back(greet_session{what.session});
+}
+
+/// Route filter and key filter: the configuration in force decides at each operation.
+std::optional<statement_executor::refusal>
+statement_executor::select_route(caller_session& session) {
+    if (!state_.configuration) {
+        return refusal{statement_error::busy, "no configuration yet; retry_after_ms=500"};
+    }
+    const auto row = state_.configuration->routes.find(session.database);
+    if (row == state_.configuration->routes.end()) {
+        return refusal{statement_error::unknown_database, "no route has this name"};
+    }
+    const auto pool = state_.configuration->pools.find(row->second.pool);
+    if (pool == state_.configuration->pools.end() || pool->second.groups.empty()) {
+        return refusal{statement_error::unknown_database, "the route's pool is empty"};
+    }
+    const auto key = state_.configuration->keys.find(session.key);
+    if (key != state_.configuration->keys.end()) {
+        session.organisation = key->second.organisation;
+    } else if (row->second.open) {
+        session.organisation = organisation_id{"anonymous"};
+    } else {
+        return refusal{statement_error::unauthorised, "unknown key"};
+    }
+    routes_[session.id] = {state_.configuration, &row->second, pool->second.groups.begin()->first};
+    return {};
+}
+
+void statement_executor::on(time_point now, const statement_received& what, proxy_output& out) {
+    const auto found = sessions_.find(what.session);
+    if (found == sessions_.end()) {
+        return;
+    }
+    auto& session = found->second;
+    session.last_activity = now;
+    if (session.input.size() >= settings_.pipeline_limit) {
+        out.sessions.emplace_back(reject_session{session.id, statement_error::too_large,
+                                                 "too many statements sent ahead"});
+        close(now, session.id, out);
+        return;
+    }
+    session.input.push_back(what.statement);
+    if (!session.work) {
+        start_next(now, session, out);
+    }
+}
+
+void statement_executor::on(time_point now, const session_broken& what, proxy_output& out) {
+    log(out.common, "session", log_level::warning,
+        "broken session=" + std::to_string(what.session.value()) + " reason=\"" + what.reason +
+            "\"");
+    out.sessions.emplace_back(
+        reject_session{what.session, statement_error::malformed, what.reason});
+    close(now, what.session, out);
+}
+
+void statement_executor::on(time_point now, const session_closed& what, proxy_output& out) {
+    close(now, what.session, out);
+}
+
+void statement_executor::close(time_point now, session_id id, proxy_output& out) {
+    const auto found = sessions_.find(id);
+    if (found == sessions_.end()) {
+        return;
+    }
+    auto& session = found->second;
+    if (session.work) {
+        limits_.withdraw(id);
+        dequeue(session);
+        // A statement in hand goes on at the backend server; its connection is free after it.
+        const bool in_transaction = session.transaction.state != transaction_state::idle;
+        abandon_attempts(now, session, in_transaction, out);
+    }
+    end_transaction(now, session, out);
+    working_.erase(id);
+    routes_.erase(id);
+    sessions_.erase(found);
+}
+
+void statement_executor::start_next(time_point now, caller_session& session, proxy_output& out) {
+    const auto id = session.id;
+    while (true) {
+        const auto found = sessions_.find(id);
+        if (found == sessions_.end() || found->second.work || found->second.input.empty()) {
+            return;
+        }
+        auto next = std::move(found->second.input.front());
+        found->second.input.pop_front();
+        start(now, found->second, std::move(next), out);
+    }
+}
+
+void statement_executor::start(time_point now, caller_session& session, statement next,
+                               proxy_output& out) {
+    const auto state = session.transaction.state;
+    const bool ends = next.kind == statement_kind::commit || next.kind == statement_kind::rollback;
+    const bool misplaced = (ends && state == transaction_state::idle) ||
+                           (next.kind == statement_kind::begin && state != transaction_state::idle);
+    if (next.kind == statement_kind::unknown || misplaced ||
+        (state == transaction_state::failed && !ends)) {
+        auto reply = own_reply(state);
+        reply.problem = statement_error::malformed;
+        reply.detail = misplaced ? "not in this transaction state" : "statement not understood";
+        out.sessions.emplace_back(answer_statement{session.id, std::move(reply)});
+        return;
+    }
+    switch (next.kind) {
+    case statement_kind::set:
+    case statement_kind::prepare:
+    case statement_kind::deallocate:
+        start_local(now, session, next, out);
+        return;
+    case statement_kind::commit:
+    case statement_kind::rollback:
+        start_ending(now, session, std::move(next), out);
+        return;
+    default:
+        break;
+    }
+    if (next.kind == statement_kind::execute && !session.prepared.contains(next.name)) {
+        auto reply = own_reply(state);
+        reply.problem = statement_error::no_statement;
+        reply.detail = next.name;
+        out.sessions.emplace_back(answer_statement{session.id, std::move(reply)});
+        return;
+    }
+    if (state == transaction_state::idle) {
+        start_operation(now, session, std::move(next), out);
+    } else {
+        start_in_transaction(now, session, std::move(next), out);
+    }
+}
+
+void statement_executor::start_local(time_point /*now*/, caller_session& session,
+                                     const statement& next, proxy_output& out) {
+    if (next.kind == statement_kind::set) {
+        session.values[next.name] = next.value;
+    } else if (next.kind == statement_kind::prepare) {
+        session.prepared[next.name] = {next.access, next.shape};
+    } else {
+        session.prepared.erase(next.name);
+    }
+    out.sessions.emplace_back(answer_statement{session.id, own_reply(session.transaction.state)});
+}
+
+void statement_executor::start_ending(time_point now, caller_session& session, statement next,
+                                      proxy_output& out) {
+    const bool failed = session.transaction.state == transaction_state::failed;
+    if (next.kind == statement_kind::commit && !failed) {
+        start_in_transaction(now, session, std::move(next), out);
+        return;
+    }
+    auto reply = own_reply(transaction_state::idle);
+    if (next.kind == statement_kind::commit) {
+        reply.problem = statement_error::aborted;
+        reply.detail = "the transaction had failed";
+    }
+    end_transaction(now, session, out);
+    out.sessions.emplace_back(answer_statement{session.id, std::move(reply)});
+}
+
+void statement_executor::end_transaction(time_point now, caller_session& session,
+                                         proxy_output& out) {
+    auto ended = std::exchange(session.transaction, {});
+    if (ended.connection != connection_id{}) {
+        backends_.release(now, ended.connection, true, out);
+    }
+}
+
+bool statement_executor::writes(const caller_session& session, const statement& next) const {
+    if (next.kind == statement_kind::execute) {
+        const auto found = session.prepared.find(next.name);
+        return found != session.prepared.end() && found->second.access == access_mode::write;
+    }
+    return next.kind == statement_kind::write;
+}
+
+void statement_executor::start_operation(time_point now, caller_session& session, statement next,
+                                         proxy_output& out) {
+    statement_work work;
+    work.received = now;
+    work.first_of_operation = true;
+    work.writes = writes(session, next);
+    work.statement = std::move(next);
+    work.deadline = now;
+    session.work = std::move(work);
+    working_.insert(session.id);
+    if (const auto problem = select_route(session)) {
+        refuse(now, session, problem->problem, problem->detail, out);
+        return;
+    }
+    const auto& row = *routes_.at(session.id).row;
+    session.work->deadline = now + from_milliseconds(row.deadline_ms);
+    session.work->needs_primary = session.work->writes ||
+                                  row.consistency == consistency_mode::primary ||
+                                  (session.work->statement.kind == statement_kind::begin &&
+                                   !session.work->statement.read_only);
+    const auto decision =
+        limits_.admit(now, session.id, session.organisation, session.work->deadline, out.common);
+    if (decision.state != admission_state::pending) {
+        on_admission(now, decision, out);
+    }
+}
+
+void statement_executor::on_admission(time_point now, const admission& decision,
+                                      proxy_output& out) {
+    const auto found = sessions_.find(session_id{decision.handle.value()});
+    if (found == sessions_.end() || !found->second.work ||
+        found->second.work->step != work_step::admission) {
+        return;
+    }
+    auto& session = found->second;
+    if (decision.state == admission_state::admitted) {
+        admitted(now, session, out);
+        return;
+    }
+    const auto after = decision.problem.retry_after.value_or(settings_.default_retry_after);
+    refuse(now, session, statement_error::busy,
+           "rate exceeded; retry_after_ms=" + std::to_string(to_milliseconds(after)), out);
+}
+
+void statement_executor::admitted(time_point now, caller_session& session, proxy_output& out) {
+    auto& work = *session.work;
+    if (work.statement.kind != statement_kind::begin) {
+        work.step = work_step::placement;
+        work.retryable = !work.writes;
+        enqueue(session);
+        return;
+    }
+    // The transaction opens at a backend server with its first statement.
+    session.transaction.state = transaction_state::open;
+    session.transaction.read_only = work.statement.read_only;
+    session.transaction.started = now;
+    finish(now, session, own_reply(transaction_state::open), out);
+}
+
+void statement_executor::start_in_transaction(time_point now, caller_session& session,
+                                              statement next, proxy_output& out) {
+    const auto& row = *routes_.at(session.id).row;
+    statement_work work;
+    work.received = now;
+    work.deadline = now + from_milliseconds(row.deadline_ms);
+    work.writes = writes(session, next);
+    work.first_of_operation = !session.transaction.opened;
+    work.needs_primary =
+        !session.transaction.read_only || row.consistency == consistency_mode::primary;
+    work.retryable = work.first_of_operation;
+    work.step = work_step::placement;
+    work.statement = std::move(next);
+    session.work = std::move(work);
+    working_.insert(session.id);
+    enqueue(session);
+    (void)out;
+}
+
+void statement_executor::leave(time_point now) {
+    if (!leaving_since_) {
+        leaving_since_ = now;
+    }
+}
+
+bool statement_executor::left(time_point now) const noexcept {
+    if (!leaving_since_) {
+        return false;
+    }
+    const bool over = now >= *leaving_since_ + settings_.grace - settings_.exit_margin;
+    return over || (sessions_.empty() && now >= *leaving_since_ + settings_.balancer_delay);
+}
+
+void statement_executor::settle(time_point now, proxy_output& out) {
+    bool progress = true;
+    while (progress) {
+        const auto results = backends_.take_results();
+        for (const auto& result : results) {
+            take_result(now, result, out);
+        }
+        place_waiting(now, out);
+        progress = !results.empty();
+    }
+}
+
+void statement_executor::tick(time_point now, proxy_output& out) {
+    const auto working = working_;
+    for (const auto id : working) {
+        const auto found = sessions_.find(id);
+        if (found != sessions_.end() && found->second.work) {
+            check_work(now, found->second, out);
+        }
+    }
+    if (now >= next_idle_check_) {
+        next_idle_check_ = now + idle_tick;
+        std::vector<session_id> all;
+        for (const auto& [id, session] : sessions_) {
+            if (!session.work) {
+                all.push_back(id);
+            }
+        }
+        for (const auto id : all) {
+            check_idle(now, sessions_.at(id), out);
+        }
+    }
+    due_ = now + (working_.empty() ? idle_tick : busy_tick);
+}
+
+void statement_executor::check_idle(time_point now, caller_session& session, proxy_output& out) {
+    if (session.transaction.state == transaction_state::open) {
+        const auto limit = from_milliseconds(routes_.at(session.id).row->transaction_idle_ms);
+        const bool stop_due = leaving_since_ && now >= *leaving_since_ + settings_.grace / 2;
+        if (now - session.last_activity < limit && !stop_due) {
+            return;
+        }
+        note(session, "transaction_ended", stop_due ? "reason=stop" : "reason=idle",
+             log_level::info, out);
+        end_transaction(now, session, out);
+        session.transaction.state = transaction_state::failed;
+    }
+    if (!leaving_since_ || now < *leaving_since_ + settings_.balancer_delay ||
+        (session.transaction.state == transaction_state::failed &&
+         now < *leaving_since_ + settings_.grace / 2)) {
+        return;
+    }
+    out.sessions.emplace_back(end_session{session.id});
+    close(now, session.id, out);
+}
+
+void statement_executor::note(const caller_session& session, const char* outcome,
+                              const std::string& more, log_level level, proxy_output& out) const {
+    std::string text = std::string{outcome} + " session=" + std::to_string(session.id.value()) +
+                       " route=" + session.database.str() +
+                       " organisation=" + session.organisation.str();
+    if (session.work) {
+        text += " request=" + session.work->statement.id.str() +
+                " kind=" + std::to_string(static_cast<int>(session.work->statement.kind)) +
+                " tries=" + std::to_string(session.work->tries);
+    }
+    log(out.common, "statement", level, text + (more.empty() ? "" : " ") + more);
+}
+
+} // namespace jackdawvane
