Let one VM own the connections to each backend server

Ruled out: smaller pools at each VM, as transactions alone need about ten connections at a primary and come in bunches.

Change: the entry VM forwards a statement to the owner of the server, chosen by rendezvous hashing in the server's failure domain. The owner serves organisations in turn and binds a lease to a connection.

--- a/include/jackdawvane/sessions/backend_sessions.hpp
+++ b/include/jackdawvane/sessions/backend_sessions.hpp
@@ -12,24 +12,14 @@
 
 namespace jackdawvane {
 
-/// @brief A prepared statement of a caller's session.
-struct prepared_statement {
-    access_mode access{access_mode::read};
-    std::string shape;
-
-    friend auto operator<=>(const prepared_statement&, const prepared_statement&) = default;
-};
-
 /// @brief Limits of the connections to backend servers.
 struct backend_session_settings {
-    /// Connections that all VMs together leave free at a backend server, for take-overs.
-    std::uint32_t reserve{4};
-    /// Connections that a VM may always open, however large the fleet is.
-    std::uint32_t least_open{3};
-    std::uint32_t least_idle{1};
-    /// Statements of this VM at one backend server, in slots of the server. The server queues
-    /// eight per slot for all VMs.
-    std::uint32_t window_per_slot{3};
+    /// Connections that the owner leaves free at a backend server: the observers of three failure
+    /// domains and the duty holder need one each, and a take-over one more.
+    std::uint32_t reserve{5};
+    /// Statements in hand at one backend server, in slots of the server. More would wait in the
+    /// server's queue, where organisations are not served in turn.
+    std::uint32_t window_per_slot{2};
     /// An idle connection is closed after this; backend servers close them after a minute.
     duration idle_limit{std::chrono::seconds{12}};
     /// A connection that was silent for longer is checked before a write is sent on it.
@@ -56,16 +46,6 @@
     bool writes{false};
 };
 
-/// @brief How an attempt ended.
-struct attempt_result {
-    attempt_id attempt;
-    connection_id connection;
-    backend_server_id backend;
-    statement_reply reply;
-    bool answered{false}; ///< Otherwise the connection was lost.
-    bool sent{false};     ///< The statement may have reached the backend server.
-};
-
 /// @brief Connections of this VM to backend servers, with the state of their sessions.
 ///
 /// A connection is open on behalf of one organisation. One caller's session uses it at a time;
@@ -107,11 +87,13 @@
     /// @brief Mean time of recent answers of @a backend; nothing when there are none.
     [[nodiscard]] std::optional<duration> latency(time_point now,
                                                   const backend_server_id& backend) const;
-    /// @brief Whether @a backend is passed over after a failure.
+    /// @brief Whether connections to @a backend fail.
     [[nodiscard]] bool avoided(time_point now, const backend_server_id& backend) const;
     /// @brief Passes @a backend over for a moment, as it cannot take more.
     void note_busy(time_point now, const backend_server_id& backend);
     [[nodiscard]] std::size_t size() const noexcept { return sessions_.size(); }
+    /// @brief Closes the idle connections to @a backend.
+    void close_idle(const backend_server_id& backend, proxy_output& out);
     /// @brief Closes all idle connections.
     void leave(proxy_output& out);
 
@@ -155,8 +137,6 @@
     void erase(connection_id id);
     void fail_open_attempts(connection_id id, session& own, const member_closed& closed);
     [[nodiscard]] std::uint32_t open_limit(const backend_registration& backend) const;
-    [[nodiscard]] std::uint32_t idle_limit(const backend_registration& backend) const;
-    [[nodiscard]] std::uint32_t fair_part(const backend_registration& backend) const;
     [[nodiscard]] std::uint64_t fit(const session& own, const session_needs& needs) const;
 
     fleet_state& state_;
--- a/include/jackdawvane/sessions/caller_session.hpp
+++ b/include/jackdawvane/sessions/caller_session.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/sessions/backend_sessions.hpp"
+#include "jackdawvane/configuration/configuration.hpp"
 #include "jackdawvane/sessions/messages.hpp"
 
 #include <deque>
@@ -52,7 +52,7 @@
     bool read_only{false};
     bool opened{false}; ///< A backend server has the transaction.
     bool wrote{false};
-    connection_id connection;
+    connection_id lease;
     backend_server_id backend;
     term leader; ///< Term of the primary that it runs on; 0 on a replica.
     time_point started{};
--- /dev/null
+++ b/include/jackdawvane/sessions/member_owner.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "jackdawvane/limits/fair_queue.hpp"
+#include "jackdawvane/sessions/backend_sessions.hpp"
+
+#include <map>
+#include <vector>
+
+namespace jackdawvane {
+
+/// @brief Limits of the queues before backend servers.
+struct owner_settings {
+    /// Statements of one organisation that wait for one backend server.
+    std::size_t queue_limit{64};
+    /// A statement that waits longer is given back, so that its entry tries another server.
+    duration queue_time{std::chrono::milliseconds{250}};
+    /// A lease without a statement for longer belongs to an entry that has gone.
+    duration lease_limit{std::chrono::seconds{8}};
+};
+
+/// @brief Result for the entry VM that sent a statement.
+struct owner_result {
+    vm_id entry;
+    attempt_result result;
+};
+
+/// @brief Serves the statements of all entry VMs on the connections that this VM owns.
+///
+/// The load that this answers: more statements than slots, and one organisation that sends many
+/// times its usual. Organisations are served in turn, by their weights; a full queue refuses at
+/// once, and what has not started within the queue time is given back as not run.
+class member_owner {
+  public:
+    member_owner(fleet_state& state, backend_sessions& backends, owner_settings settings);
+
+    void submit(time_point now, const vm_id& entry, member_statement statement, proxy_output& out);
+    void release(time_point now, const vm_id& entry, const lease_release& release,
+                 proxy_output& out);
+    /// @brief Releases all leases of a VM that is gone.
+    void forget(time_point now, const vm_id& entry, proxy_output& out);
+    /// @brief Takes the results of the connections and starts what waits.
+    void settle(time_point now, proxy_output& out);
+    void tick(time_point now, proxy_output& out);
+
+    [[nodiscard]] std::vector<owner_result> take_results();
+    /// @brief Statements that wait for @a backend.
+    [[nodiscard]] std::size_t waiting(const backend_server_id& backend) const;
+
+  private:
+    struct lease_key {
+        vm_id entry;
+        connection_id lease;
+        friend auto operator<=>(const lease_key&, const lease_key&) = default;
+    };
+    struct lease {
+        connection_id connection;
+        backend_server_id backend;
+        time_point used{};
+    };
+    struct queued {
+        vm_id entry;
+        member_statement statement;
+    };
+    struct running {
+        lease_key key;
+        attempt_id attempt;
+    };
+
+    void start(time_point now, const vm_id& entry, member_statement statement,
+               connection_id connection, proxy_output& out);
+    void drain(time_point now, const backend_server_id& backend, fair_queue<queued>& queue,
+               proxy_output& out);
+    void expire(time_point now, fair_queue<queued>& queue);
+    void give_back(const queued& entry, statement_error problem);
+
+    fleet_state& state_;
+    backend_sessions& backends_;
+    owner_settings settings_;
+    id_sequence<request_id> queue_ids_;
+    id_sequence<attempt_id> attempt_ids_;
+    std::map<backend_server_id, fair_queue<queued>> queues_;
+    std::map<lease_key, lease> leases_;
+    std::map<attempt_id, running> running_;
+    std::vector<owner_result> results_;
+};
+
+} // namespace jackdawvane
--- a/include/jackdawvane/sessions/messages.hpp
+++ b/include/jackdawvane/sessions/messages.hpp
@@ -6,8 +6,10 @@
 
 #include <utility>
 
+#include <array>
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -80,6 +82,29 @@
     malformed,
 };
 
+template <>
+struct enum_names<statement_error> {
+    static constexpr std::array<std::pair<statement_error, const char*>, 15> table{
+        {{statement_error::none, "none"},
+         {statement_error::busy, "busy"},
+         {statement_error::lagging, "lagging"},
+         {statement_error::read_only, "read_only"},
+         {statement_error::misrouted, "misrouted"},
+         {statement_error::too_many_connections, "too_many_connections"},
+         {statement_error::no_statement, "no_statement"},
+         {statement_error::aborted, "aborted"},
+         {statement_error::failed, "failed"},
+         {statement_error::timeout, "timeout"},
+         {statement_error::unknown_outcome, "unknown_outcome"},
+         {statement_error::unauthorised, "unauthorised"},
+         {statement_error::unknown_database, "unknown_database"},
+         {statement_error::too_large, "too_large"},
+         {statement_error::malformed, "malformed"}}};
+};
+
+/// @brief Stable text of @a problem, as used in logs and metrics.
+[[nodiscard]] const char* to_string(statement_error problem) noexcept;
+
 /// @brief Whether @a problem promises that the statement was not run.
 [[nodiscard]] constexpr bool promises_not_run(statement_error problem) noexcept {
     return problem == statement_error::busy || problem == statement_error::lagging ||
@@ -91,6 +116,14 @@
 /// @brief Transaction state of a session.
 enum class transaction_state { idle, open, failed };
 
+template <>
+struct enum_names<transaction_state> {
+    static constexpr std::array<std::pair<transaction_state, const char*>, 3> table{
+        {{transaction_state::idle, "idle"},
+         {transaction_state::open, "open"},
+         {transaction_state::failed, "failed"}}};
+};
+
 /// @brief Answer to one statement.
 struct statement_reply {
     std::vector<std::string> rows;
@@ -99,6 +132,13 @@
     std::string detail; ///< Text of the problem.
     transaction_state state{transaction_state::idle};
     std::optional<log_point> position; ///< Log of the backend server at the answer.
+
+    static constexpr auto fields() {
+        using self = statement_reply;
+        return std::tuple{field("rows", &self::rows),       field("signature", &self::signature),
+                          field("problem", &self::problem), field("detail", &self::detail),
+                          field("state", &self::state),     field("position", &self::position)};
+    }
 };
 
 /// @brief What a backend server says about itself and its group.
@@ -140,6 +180,23 @@
     step_down, ///< A primary of a lower term becomes a replica.
 };
 
+template <>
+struct enum_names<command_kind> {
+    static constexpr std::array<std::pair<command_kind, const char*>, 12> table{
+        {{command_kind::caller_text, "caller_text"},
+         {command_kind::execute, "execute"},
+         {command_kind::begin, "begin"},
+         {command_kind::begin_read, "begin_read"},
+         {command_kind::rollback, "rollback"},
+         {command_kind::reset, "reset"},
+         {command_kind::set, "set"},
+         {command_kind::prepare, "prepare"},
+         {command_kind::status, "status"},
+         {command_kind::hold, "hold"},
+         {command_kind::resume, "resume"},
+         {command_kind::step_down, "step_down"}}};
+};
+
 /// @brief One statement for a backend server.
 struct backend_command {
     command_kind kind{command_kind::caller_text};
@@ -150,6 +207,90 @@
     access_mode access{access_mode::read};
     std::string shape;
     jackdawvane::term term; ///< `hold`, `step_down`.
+
+    static constexpr auto fields() {
+        using self = backend_command;
+        return std::tuple{field("kind", &self::kind),   field("id", &self::id),
+                          field("after", &self::after), field("name", &self::name),
+                          field("value", &self::value), field("access", &self::access),
+                          field("shape", &self::shape), field("term", &self::term)};
+    }
+};
+
+/// @brief A prepared statement of a caller's session.
+struct prepared_statement {
+    access_mode access{access_mode::read};
+    std::string shape;
+
+    static constexpr auto fields() {
+        return std::tuple{field("access", &prepared_statement::access),
+                          field("shape", &prepared_statement::shape)};
+    }
+    friend auto operator<=>(const prepared_statement&, const prepared_statement&) = default;
+};
+
+/// @brief A statement on its way to the VM that holds the connections to a backend server.
+///
+/// The lease is the entry VM's name for one connection; it is bound to a connection by the first
+/// statement and keeps it until the entry releases it.
+struct member_statement {
+    static constexpr const char* method = "statement.forward";
+    connection_id lease;
+    attempt_id attempt;
+    backend_server_id backend;
+    organisation_id organisation;
+    std::map<std::string, std::string> values;
+    std::optional<prepared_statement> prepared; ///< Set when the statement is prepared.
+    bool writes{false};
+    std::optional<backend_command> begin; ///< Opens a transaction before the statement.
+    backend_command main;
+    duration remaining{0}; ///< The statement is not started later than this after its arrival.
+
+    static constexpr auto fields() {
+        using self = member_statement;
+        return std::tuple{
+            field("lease", &self::lease),     field("attempt", &self::attempt),
+            field("backend", &self::backend), field("organisation", &self::organisation),
+            field("values", &self::values),   field("prepared", &self::prepared),
+            field("writes", &self::writes),   field("begin", &self::begin),
+            field("main", &self::main),       field("remaining_us", &self::remaining)};
+    }
+};
+
+/// @brief How a statement ended at the VM that holds the connection.
+struct attempt_result {
+    static constexpr const char* method = "statement.result";
+    attempt_id attempt;
+    connection_id lease;
+    backend_server_id backend;
+    statement_reply reply;
+    bool answered{false};    ///< Otherwise there is no answer of the backend server.
+    bool sent{false};        ///< The statement may have reached the backend server.
+    bool unreachable{false}; ///< The VM cannot connect to the backend server.
+
+    static constexpr auto fields() {
+        using self = attempt_result;
+        return std::tuple{field("attempt", &self::attempt),        field("lease", &self::lease),
+                          field("backend", &self::backend),        field("reply", &self::reply),
+                          field("answered", &self::answered),      field("sent", &self::sent),
+                          field("unreachable", &self::unreachable)};
+    }
+};
+
+/// @brief The entry VM does not need a connection any more.
+struct lease_release {
+    static constexpr const char* method = "statement.release";
+    connection_id lease;
+    backend_server_id backend;
+    bool in_transaction{false}; ///< Roll back first.
+    bool discard{false};        ///< The state of the session is in doubt.
+
+    static constexpr auto fields() {
+        using self = lease_release;
+        return std::tuple{field("lease", &self::lease), field("backend", &self::backend),
+                          field("in_transaction", &self::in_transaction),
+                          field("discard", &self::discard)};
+    }
 };
 
 } // namespace jackdawvane
--- a/include/jackdawvane/sessions/session_proxy.hpp
+++ b/include/jackdawvane/sessions/session_proxy.hpp
@@ -28,6 +28,8 @@
     duration lease_duration{from_milliseconds(5000)};
     executor_settings executor;
     backend_session_settings backends;
+    owner_settings owner;
+    gateway_settings gateway;
     observer_settings observer;
     promotion_duty_settings promotion;
     duty_lease_settings duty;
@@ -78,6 +80,12 @@
                  proxy_output& out);
     void receive(time_point now, const peer_received& from, const group_hold& message,
                  proxy_output& out);
+    void receive(time_point now, const peer_received& from, const member_statement& message,
+                 proxy_output& out);
+    void receive(time_point now, const peer_received& from, const attempt_result& message,
+                 proxy_output& out);
+    void receive(time_point now, const peer_received& from, const lease_release& message,
+                 proxy_output& out);
     template <class Message>
     void receive(time_point now, const peer_received& from, const Message& message,
                  proxy_output& out);
@@ -92,6 +100,8 @@
     void settle(time_point now, proxy_output& out);
     void follow_configuration(time_point now, proxy_output& out);
     void follow_fleet(time_point now, proxy_output& out);
+    void settle_statements(time_point now, proxy_output& out);
+    void vm_lost(time_point now, const vm_id& vm, proxy_output& out);
     void report_readiness(proxy_output& out);
     void finish_leaving(time_point now, proxy_output& out);
 
@@ -108,6 +118,8 @@
     group_observer observer_;
     promotion_duty promotion_;
     backend_sessions backends_;
+    member_owner owner_;
+    member_gateway gateway_;
     statement_executor executor_;
     revision applied_revision_;
     std::uint64_t fleet_version_{0};
--- a/include/jackdawvane/sessions/statement_executor.hpp
+++ b/include/jackdawvane/sessions/statement_executor.hpp
@@ -3,9 +3,9 @@
 #include "jackdawvane/foundation/id_sequence.hpp"
 #include "jackdawvane/limits/admission.hpp"
 #include "jackdawvane/sessions/backend_chooser.hpp"
-#include "jackdawvane/sessions/backend_sessions.hpp"
 #include "jackdawvane/sessions/caller_session.hpp"
 #include "jackdawvane/sessions/fleet_state.hpp"
+#include "jackdawvane/sessions/member_gateway.hpp"
 #include "jackdawvane/sessions/ports.hpp"
 
 #include <map>
@@ -65,7 +65,7 @@
 /// may write go to the primary while its leadership is proved.
 class statement_executor {
   public:
-    statement_executor(fleet_state& state, backend_sessions& backends, admission_service& limits,
+    statement_executor(fleet_state& state, member_gateway& gateway, admission_service& limits,
                        executor_settings settings);
 
     void on(time_point now, const session_started& what, proxy_output& out);
@@ -130,9 +130,9 @@
     [[nodiscard]] bool send(time_point now, caller_session& session,
                             const backend_server_id& backend, std::optional<log_point> after,
                             proxy_output& out);
-    void send_on(time_point now, caller_session& session, connection_id connection,
-                 std::optional<log_point> after, bool opens, proxy_output& out);
-    [[nodiscard]] session_needs needs_of(const caller_session& session) const;
+    void send_on(time_point now, caller_session& session, const backend_server_id& backend,
+                 connection_id lease, const std::optional<log_point>& after, bool opens,
+                 proxy_output& out);
     [[nodiscard]] duration distance_to(const backend_registration& backend) const;
 
     // Results.
@@ -163,7 +163,7 @@
               log_level level, proxy_output& out) const;
 
     fleet_state& state_;
-    backend_sessions& backends_;
+    member_gateway& gateway_;
     admission_service& limits_;
     executor_settings settings_;
     id_sequence<attempt_id> attempt_ids_;
--- a/src/core/sessions/backend_sessions.cpp
+++ b/src/core/sessions/backend_sessions.cpp
@@ -19,20 +19,10 @@
                                    id_sequence<connection_id>& ids)
     : state_{state}, settings_{settings}, ids_{ids} {}
 
-std::uint32_t backend_sessions::fair_part(const backend_registration& backend) const {
+std::uint32_t backend_sessions::open_limit(const backend_registration& backend) const {
     const auto* row = state_.find_group(backend.group);
     const auto limit = row == nullptr ? std::uint32_t{0} : row->connection_limit;
-    const auto usable = limit > settings_.reserve ? limit - settings_.reserve : 1;
-    return usable / std::max<std::uint32_t>(1, static_cast<std::uint32_t>(state_.live.size()));
-}
-
-std::uint32_t backend_sessions::open_limit(const backend_registration& backend) const {
-    // Transactions come in bunches: a VM may use a multiple of its part while others do not.
-    return std::max(settings_.least_open, 3 * fair_part(backend));
-}
-
-std::uint32_t backend_sessions::idle_limit(const backend_registration& backend) const {
-    return std::max(settings_.least_idle, fair_part(backend));
+    return limit > settings_.reserve ? limit - settings_.reserve : 1;
 }
 
 bool backend_sessions::avoided(time_point now, const backend_server_id& backend) const {
@@ -282,13 +272,13 @@
             state_.leadership(own.group).on_position(ended.sent, own.backend, *position);
         }
         results_.push_back(
-            {ended.attempt, replied.connection, own.backend, replied.reply, true, true});
+            {ended.attempt, replied.connection, own.backend, replied.reply, true, true, false});
     } else if (ended.kind == expected_kind::begin && own.held_main) {
         auto main = std::move(*own.held_main);
         own.held_main.reset();
         if (failed) {
-            results_.push_back(
-                {ended.attempt, replied.connection, own.backend, replied.reply, true, false});
+            results_.push_back({ended.attempt, replied.connection, own.backend, replied.reply, true,
+                                false, false});
         } else {
             expect(now, own, expected_kind::main, ended.attempt);
             out.sessions.emplace_back(send_to_member{replied.connection, {std::move(main)}});
@@ -323,16 +313,17 @@
         reported = each.attempt;
         attempt_result result;
         result.attempt = each.attempt;
-        result.connection = id;
+        result.lease = id;
         result.backend = own.backend;
         result.reply.problem = closed.problem;
         result.sent = own.open && each.kind == expected_kind::main;
+        result.unreachable = !own.open && closed.reason != close_reason::rejected;
         results_.push_back(std::move(result));
     }
     if (own.main_waits_for_open && own.held_main) {
         attempt_result result;
         result.attempt = own.held_attempt;
-        result.connection = id;
+        result.lease = id;
         result.backend = own.backend;
         result.reply.problem = closed.problem;
         results_.push_back(std::move(result));
@@ -400,21 +391,6 @@
         discard(id, out);
         return;
     }
-    std::uint32_t idle = 0;
-    connection_id oldest = id;
-    time_point oldest_heard = own.heard;
-    for (const auto& [other, each] : sessions_) {
-        if (each.backend == own.backend && !each.in_use) {
-            ++idle;
-            if (each.heard < oldest_heard) {
-                oldest_heard = each.heard;
-                oldest = other;
-            }
-        }
-    }
-    if (idle > idle_limit(entry->registration)) {
-        discard(oldest, out);
-    }
 }
 
 void backend_sessions::discard(connection_id connection, proxy_output& out) {
@@ -486,6 +462,18 @@
     return found->second.mean;
 }
 
+void backend_sessions::close_idle(const backend_server_id& backend, proxy_output& out) {
+    std::vector<connection_id> idle;
+    for (const auto& [id, own] : sessions_) {
+        if (own.backend == backend && !own.in_use) {
+            idle.push_back(id);
+        }
+    }
+    for (const auto id : idle) {
+        discard(id, out);
+    }
+}
+
 void backend_sessions::leave(proxy_output& out) {
     std::vector<connection_id> idle;
     for (const auto& [id, own] : sessions_) {
--- /dev/null
+++ b/src/core/sessions/member_gateway.cpp
@@ -0,0 +1,200 @@
+#include "jackdawvane/sessions/member_gateway.hpp"
+
+#include "jackdawvane/membership/placement.hpp"
+
+#include <utility>
+
+#include <algorithm>
+
+namespace jackdawvane {
+
+member_gateway::member_gateway(fleet_state& state, member_owner& owner, gateway_settings settings,
+                               id_sequence<connection_id>& ids)
+    : state_{state}, owner_{owner}, settings_{settings}, ids_{ids} {}
+
+std::optional<vm_id> member_gateway::owner_for(time_point now,
+                                               const backend_server_id& backend) const {
+    const auto* entry = state_.directory.find(backend);
+    if (entry == nullptr) {
+        return {};
+    }
+    std::vector<vm_entry> candidates;
+    std::copy_if(state_.live.begin(), state_.live.end(), std::back_inserter(candidates),
+                 [&](const vm_entry& vm) {
+                     const auto found = unreachable_.find({vm.vm, backend});
+                     return found == unreachable_.end() ||
+                            now - found->second > settings_.unreachable_memory;
+                 });
+    const location place{state_.region_of(entry->registration.domain), entry->registration.domain};
+    return owner_of(backend, place, candidates);
+}
+
+bool member_gateway::owns(const backend_server_id& backend) const {
+    const auto* entry = state_.directory.find(backend);
+    if (entry == nullptr) {
+        return false;
+    }
+    const location place{state_.region_of(entry->registration.domain), entry->registration.domain};
+    return owner_of(backend, place, state_.live) == state_.self.vm;
+}
+
+bool member_gateway::open(time_point now, const backend_server_id& backend) const {
+    const auto found = loads_.find(backend);
+    return found == loads_.end() || now >= found->second.busy_until;
+}
+
+std::optional<connection_id> member_gateway::acquire(time_point now,
+                                                     const backend_server_id& backend) {
+    const auto owner = owner_for(now, backend);
+    if (!owner) {
+        return {};
+    }
+    const auto id = ids_.next();
+    leases_[id] = {*owner, backend};
+    return id;
+}
+
+const vm_entry* member_gateway::find_vm(const vm_id& vm) const {
+    const auto found = std::find_if(state_.live.begin(), state_.live.end(),
+                                    [&](const vm_entry& entry) { return entry.vm == vm; });
+    return found == state_.live.end() ? nullptr : &*found;
+}
+
+void member_gateway::send(time_point now, member_statement statement, proxy_output& out) {
+    const auto& own = leases_.at(statement.lease);
+    attempts_[statement.attempt] = {statement.lease, now};
+    ++loads_[own.backend].running;
+    if (own.owner == state_.self.vm) {
+        owner_.submit(now, state_.self.vm, std::move(statement), out);
+        return;
+    }
+    const auto* vm = find_vm(own.owner);
+    if (vm == nullptr) {
+        attempt_result lost;
+        lost.attempt = statement.attempt;
+        lost.lease = statement.lease;
+        lost.backend = own.backend;
+        lost.unreachable = true;
+        on_result(now, lost);
+        return;
+    }
+    out.common.emplace_back(
+        send_to_peer{vm->vm, vm->peer, peer_channel::stream, std::move(statement)});
+}
+
+void member_gateway::give_back(time_point now, const lease_release& release, const vm_id& owner,
+                               proxy_output& out) {
+    if (owner == state_.self.vm) {
+        owner_.release(now, owner, release, out);
+    } else if (const auto* vm = find_vm(owner)) {
+        out.common.emplace_back(send_to_peer{vm->vm, vm->peer, peer_channel::stream, release});
+    }
+}
+
+void member_gateway::release(time_point now, connection_id lease, bool in_transaction,
+                             proxy_output& out) {
+    const auto found = leases_.find(lease);
+    if (found != leases_.end()) {
+        const auto own = found->second;
+        leases_.erase(found);
+        give_back(now, {lease, own.backend, in_transaction, false}, own.owner, out);
+    }
+}
+
+void member_gateway::discard(time_point now, connection_id lease, proxy_output& out) {
+    const auto found = leases_.find(lease);
+    if (found != leases_.end()) {
+        const auto own = found->second;
+        leases_.erase(found);
+        give_back(now, {lease, own.backend, false, true}, own.owner, out);
+    }
+}
+
+void member_gateway::end_attempt(time_point now, const attempt_result& result, bool measure) {
+    const auto found = attempts_.find(result.attempt);
+    if (found == attempts_.end()) {
+        return;
+    }
+    auto& own = loads_[result.backend];
+    own.running -= std::min(own.running, 1U);
+    if (measure) {
+        const auto taken = now - found->second.sent;
+        const bool first =
+            own.measured == time_point::min() || now - own.measured > settings_.latency_memory;
+        own.mean = first ? taken : own.mean + (taken - own.mean) / settings_.latency_divisor;
+        own.measured = now;
+    }
+    attempts_.erase(found);
+}
+
+void member_gateway::on_result(time_point now, const attempt_result& result) {
+    const auto sent = attempts_.find(result.attempt);
+    if (sent == attempts_.end()) {
+        return;
+    }
+    const auto asked = sent->second.sent;
+    const auto lease = leases_.find(result.lease);
+    if (result.unreachable && lease != leases_.end()) {
+        unreachable_[{lease->second.owner, result.backend}] = now;
+    }
+    const bool refused = result.answered && !result.sent;
+    if (refused || result.reply.problem == statement_error::busy ||
+        result.reply.problem == statement_error::too_many_connections) {
+        if (result.reply.problem != statement_error::lagging) {
+            loads_[result.backend].busy_until = now + settings_.busy_pause;
+        }
+    }
+    if (result.answered && result.reply.position) {
+        if (const auto* entry = state_.directory.find(result.backend)) {
+            state_.leadership(entry->registration.group)
+                .on_position(asked, result.backend, *result.reply.position);
+        }
+    }
+    end_attempt(now, result, result.answered && result.sent);
+    if (!result.answered) {
+        leases_.erase(result.lease);
+    }
+    results_.push_back(result);
+}
+
+void member_gateway::on_vm_lost(const vm_id& vm) {
+    std::vector<attempt_result> lost;
+    for (const auto& [attempt, own] : attempts_) {
+        const auto found = leases_.find(own.lease);
+        if (found != leases_.end() && found->second.owner == vm) {
+            attempt_result result;
+            result.attempt = attempt;
+            result.lease = own.lease;
+            result.backend = found->second.backend;
+            result.sent = true;
+            lost.push_back(std::move(result));
+        }
+    }
+    for (const auto& result : lost) {
+        end_attempt({}, result, false);
+        leases_.erase(result.lease);
+        results_.push_back(result);
+    }
+    std::erase_if(leases_, [&](const auto& each) { return each.second.owner == vm; });
+}
+
+std::vector<attempt_result> member_gateway::take_results() {
+    return std::exchange(results_, {});
+}
+
+std::uint32_t member_gateway::running(const backend_server_id& backend) const {
+    const auto found = loads_.find(backend);
+    return found == loads_.end() ? 0 : found->second.running;
+}
+
+std::optional<duration> member_gateway::latency(time_point now,
+                                                const backend_server_id& backend) const {
+    const auto found = loads_.find(backend);
+    if (found == loads_.end() || found->second.measured == time_point::min() ||
+        now - found->second.measured > settings_.latency_memory) {
+        return {};
+    }
+    return found->second.mean;
+}
+
+} // namespace jackdawvane
--- /dev/null
+++ b/src/core/sessions/member_owner.cpp
@@ -0,0 +1,176 @@
+#include "jackdawvane/sessions/member_owner.hpp"
+
+#include <utility>
+
+#include <algorithm>
+
+namespace jackdawvane {
+
+namespace {
+
+session_needs needs_of(const member_statement& statement) {
+    session_needs needs;
+    needs.organisation = statement.organisation;
+    needs.values = &statement.values;
+    needs.prepared = statement.prepared ? &*statement.prepared : nullptr;
+    needs.writes = statement.writes;
+    return needs;
+}
+
+} // namespace
+
+member_owner::member_owner(fleet_state& state, backend_sessions& backends, owner_settings settings)
+    : state_{state}, backends_{backends}, settings_{settings} {}
+
+void member_owner::submit(time_point now, const vm_id& entry, member_statement statement,
+                          proxy_output& out) {
+    const auto bound = leases_.find({entry, statement.lease});
+    if (bound != leases_.end()) {
+        bound->second.used = now;
+        start(now, entry, std::move(statement), bound->second.connection, out);
+        return;
+    }
+    const auto& backend = statement.backend;
+    auto& queue = queues_.try_emplace(backend, settings_.queue_limit).first->second;
+    std::uint32_t weight = 1;
+    if (state_.configuration) {
+        const auto row = state_.configuration->organisations.find(statement.organisation);
+        weight = row == state_.configuration->organisations.end() ? 1 : row->second.weight;
+    }
+    const auto deadline = now + std::min(statement.remaining, settings_.queue_time);
+    const auto organisation = statement.organisation;
+    queued waiting{entry, std::move(statement)};
+    if (!queue.push(queue_ids_.next(), organisation, weight, 1, deadline, waiting)) {
+        give_back(waiting, statement_error::busy);
+        return;
+    }
+    drain(now, waiting.statement.backend, queue, out);
+}
+
+void member_owner::drain(time_point now, const backend_server_id& backend,
+                         fair_queue<queued>& queue, proxy_output& out) {
+    expire(now, queue);
+    if (backends_.avoided(now, backend)) {
+        while (auto next = queue.pop(now)) {
+            give_back(next->item, statement_error::none);
+        }
+        return;
+    }
+    while (!queue.empty() && backends_.has_room(now, backend)) {
+        auto next = queue.pop(now);
+        if (!next) {
+            return;
+        }
+        const auto connection =
+            backends_.acquire(now, backend, needs_of(next->item.statement), out);
+        if (!connection) {
+            give_back(next->item, statement_error::busy);
+            continue;
+        }
+        leases_[{next->item.entry, next->item.statement.lease}] = {*connection, backend, now};
+        start(now, next->item.entry, std::move(next->item.statement), *connection, out);
+    }
+}
+
+void member_owner::start(time_point now, const vm_id& entry, member_statement statement,
+                         connection_id connection, proxy_output& out) {
+    const auto attempt = attempt_ids_.next();
+    running_[attempt] = {{entry, statement.lease}, statement.attempt};
+    backends_.send(now, connection, attempt, needs_of(statement), std::move(statement.begin),
+                   std::move(statement.main), out);
+}
+
+void member_owner::expire(time_point now, fair_queue<queued>& queue) {
+    for (const auto& each : queue.expire(now)) {
+        give_back(each.item, statement_error::busy);
+    }
+}
+
+void member_owner::give_back(const queued& entry, statement_error problem) {
+    attempt_result result;
+    result.attempt = entry.statement.attempt;
+    result.lease = entry.statement.lease;
+    result.backend = entry.statement.backend;
+    result.reply.problem = problem;
+    result.answered = problem != statement_error::none;
+    result.unreachable = problem == statement_error::none;
+    results_.push_back({entry.entry, std::move(result)});
+}
+
+void member_owner::release(time_point now, const vm_id& entry, const lease_release& release,
+                           proxy_output& out) {
+    const auto bound = leases_.find({entry, release.lease});
+    if (bound == leases_.end()) {
+        return;
+    }
+    const auto connection = bound->second.connection;
+    leases_.erase(bound);
+    if (release.discard) {
+        backends_.discard(connection, out);
+    } else {
+        backends_.release(now, connection, release.in_transaction, out);
+    }
+}
+
+void member_owner::forget(time_point now, const vm_id& entry, proxy_output& out) {
+    (void)now;
+    for (auto it = leases_.begin(); it != leases_.end();) {
+        if (it->first.entry == entry) {
+            backends_.discard(it->second.connection, out);
+            it = leases_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+void member_owner::settle(time_point now, proxy_output& out) {
+    for (auto& result : backends_.take_results()) {
+        const auto found = running_.find(result.attempt);
+        if (found == running_.end()) {
+            continue;
+        }
+        const auto own = found->second;
+        running_.erase(found);
+        if (!result.answered) {
+            leases_.erase(own.key);
+        }
+        result.attempt = own.attempt;
+        result.lease = own.key.lease;
+        results_.push_back({own.key.entry, std::move(result)});
+    }
+    for (auto& [backend, queue] : queues_) {
+        if (!queue.empty()) {
+            drain(now, backend, queue, out);
+        }
+    }
+}
+
+void member_owner::tick(time_point now, proxy_output& out) {
+    for (auto it = leases_.begin(); it != leases_.end();) {
+        if (now - it->second.used > settings_.lease_limit) {
+            log(out.common, "owner", log_level::warning,
+                "lease expired entry=" + it->first.entry.str() +
+                    " backend=" + it->second.backend.str());
+            backends_.discard(it->second.connection, out);
+            it = leases_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    for (auto it = queues_.begin(); it != queues_.end();) {
+        const bool gone = it->second.empty() && state_.directory.find(it->first) == nullptr;
+        it = gone ? queues_.erase(it) : std::next(it);
+    }
+}
+
+std::vector<owner_result> member_owner::take_results() {
+    return std::exchange(results_, {});
+}
+
+std::size_t member_owner::waiting(const backend_server_id& backend) const {
+    const auto found = queues_.find(backend);
+    return found == queues_.end() ? 0 : found->second.size();
+}
+
+} // namespace jackdawvane
--- /dev/null
+++ b/src/core/sessions/messages.cpp
@@ -0,0 +1,16 @@
+#include "jackdawvane/sessions/messages.hpp"
+
+#include <utility>
+
+#include <algorithm>
+
+namespace jackdawvane {
+
+const char* to_string(statement_error problem) noexcept {
+    const auto& table = enum_names<statement_error>::table;
+    const auto* const found = std::find_if(table.begin(), table.end(),
+                                           [&](const auto& each) { return each.first == problem; });
+    return found == table.end() ? "none" : found->second;
+}
+
+} // namespace jackdawvane
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -60,9 +60,11 @@
       duty_{settings.self.vm, settings.duty, request_ids_}, observer_{state_, settings.observer,
                                                                       connection_ids_,
                                                                       request_ids_},
-      promotion_{state_, observer_, duty_, settings.promotion},
-      backends_{state_, settings.backends, connection_ids_}, executor_{state_, backends_, *this,
-                                                                       settings.executor} {}
+      promotion_{state_, observer_, duty_, settings.promotion}, backends_{state_, settings.backends,
+                                                                          connection_ids_},
+      owner_{state_, backends_, settings.owner}, gateway_{state_, owner_, settings.gateway,
+                                                          connection_ids_},
+      executor_{state_, gateway_, *this, settings.executor} {}
 
 void session_proxy::handle(time_point now, const proxy_event& what, proxy_output& out) {
     check_pause(now, out);
@@ -95,6 +97,7 @@
         registration_.tick(now, out.common);
         duty_.tick(now, duty_rank_, out.common);
         backends_.tick(now, out);
+        owner_.tick(now, out);
     }
     observer_.set_always_active(duty_.held(now));
     if (observer_.next_deadline() <= now) {
@@ -121,13 +124,38 @@
     for (const auto& answer : observer_.take_answers()) {
         promotion_.on_control(now, answer, out);
     }
-    executor_.settle(now, out);
+    settle_statements(now, out);
     report_readiness(out);
     if (leaving_) {
         finish_leaving(now, out);
     }
 }
 
+/// Carries results from the connections over the owner and the gateway to the sessions, and what
+/// these send next the other way, until nothing moves.
+void session_proxy::settle_statements(time_point now, proxy_output& out) {
+    bool progress = true;
+    while (progress) {
+        owner_.settle(now, out);
+        const auto results = owner_.take_results();
+        for (const auto& [entry, result] : results) {
+            if (entry == settings_.self.vm) {
+                gateway_.on_result(now, result);
+            } else if (const auto* vm = members_.entry_of(entry)) {
+                out.common.emplace_back(
+                    send_to_peer{entry, vm->peer, peer_channel::stream, result});
+            }
+        }
+        executor_.settle(now, out);
+        progress = !results.empty();
+    }
+}
+
+void session_proxy::vm_lost(time_point now, const vm_id& vm, proxy_output& out) {
+    gateway_.on_vm_lost(vm);
+    owner_.forget(now, vm, out);
+}
+
 void session_proxy::follow_configuration(time_point now, proxy_output& out) {
     if (configuration_.present() == applied_revision_) {
         return;
@@ -143,7 +171,19 @@
         return;
     }
     fleet_version_ = members_.version();
-    state_.live = members_.live();
+    const auto before = std::exchange(state_.live, members_.live());
+    for (const auto& vm : before) {
+        const bool stays = std::any_of(state_.live.begin(), state_.live.end(),
+                                       [&](const vm_entry& each) { return each.vm == vm.vm; });
+        if (!stays && vm.vm != settings_.self.vm) {
+            vm_lost(now, vm.vm, out);
+        }
+    }
+    for (const auto& [backend, entry] : state_.directory.entries()) {
+        if (!gateway_.owns(backend)) {
+            backends_.close_idle(backend, out);
+        }
+    }
     configuration_.on_membership(now, state_.live, out.common);
     const auto gone = members_.gone();
     limiter_.set_fleet(now, state_.live, std::set<vm_id>{gone.begin(), gone.end()}, out.common);
@@ -278,6 +318,7 @@
 
 void session_proxy::on(time_point now, const peer_disconnected& what, proxy_output& out) {
     members_.on_disconnected(now, what.vm, out.common);
+    vm_lost(now, what.vm, out);
 }
 
 void session_proxy::on(time_point now, const stop_requested& /*what*/, proxy_output& out) {
@@ -335,6 +376,21 @@
             " from=" + from.from.str());
 }
 
+void session_proxy::receive(time_point now, const peer_received& from,
+                            const member_statement& message, proxy_output& out) {
+    owner_.submit(now, from.from, message, out);
+}
+
+void session_proxy::receive(time_point now, const peer_received& /*from*/,
+                            const attempt_result& message, proxy_output& /*out*/) {
+    gateway_.on_result(now, message);
+}
+
+void session_proxy::receive(time_point now, const peer_received& from, const lease_release& message,
+                            proxy_output& out) {
+    owner_.release(now, from.from, message, out);
+}
+
 template <class Message>
 void session_proxy::receive(time_point now, const peer_received& from, const Message& /*message*/,
                             proxy_output& out) {
--- a/src/core/sessions/statement_executor.cpp
+++ b/src/core/sessions/statement_executor.cpp
@@ -22,9 +22,9 @@
 
 } // namespace
 
-statement_executor::statement_executor(fleet_state& state, backend_sessions& backends,
+statement_executor::statement_executor(fleet_state& state, member_gateway& gateway,
                                        admission_service& limits, executor_settings settings)
-    : state_{state}, backends_{backends}, limits_{limits}, settings_{settings} {}
+    : state_{state}, gateway_{gateway}, limits_{limits}, settings_{settings} {}
 
 void statement_executor::on(time_point now, const session_started& what, proxy_output& out) {
     caller_session session;
@@ -207,8 +207,8 @@
 void statement_executor::end_transaction(time_point now, caller_session& session,
                                          proxy_output& out) {
     auto ended = std::exchange(session.transaction, {});
-    if (ended.connection != connection_id{}) {
-        backends_.release(now, ended.connection, true, out);
+    if (ended.lease != connection_id{}) {
+        gateway_.release(now, ended.lease, true, out);
     }
 }
 
@@ -315,7 +315,7 @@
 void statement_executor::settle(time_point now, proxy_output& out) {
     bool progress = true;
     while (progress) {
-        const auto results = backends_.take_results();
+        const auto results = gateway_.take_results();
         for (const auto& result : results) {
             take_result(now, result, out);
         }
--- a/src/core/sessions/statement_placement.cpp
+++ b/src/core/sessions/statement_placement.cpp
@@ -73,14 +73,14 @@
             return false;
         }
     }
-    send_on(now, session, transaction.connection, {}, false, out);
+    send_on(now, session, transaction.backend, transaction.lease, {}, false, out);
     return true;
 }
 
 bool statement_executor::place_on_primary(time_point now, caller_session& session,
                                           proxy_output& out) {
     const auto& leadership = state_.leadership(routes_.at(session.id).group);
-    if (!leadership.confirmed(now) || !backends_.has_room(now, *leadership.primary())) {
+    if (!leadership.confirmed(now) || !gateway_.open(now, *leadership.primary())) {
         return false;
     }
     session.work->leader = leadership.term();
@@ -129,14 +129,14 @@
         const bool primary = leadership.primary() == backend;
         const bool proved_primary = primary && leadership.confirmed(now);
         if (registration.group != group || session.work->tried.contains(backend) ||
-            !backends_.has_room(now, backend) || (!wanted && !proved_primary)) {
+            !gateway_.open(now, backend) || (!wanted && !proved_primary)) {
             continue;
         }
         read_candidate candidate;
         candidate.backend = backend;
         candidate.distance = distance_to(registration);
-        candidate.mean_answer = backends_.latency(now, backend).value_or(duration{0});
-        candidate.running = backends_.running(backend);
+        candidate.mean_answer = gateway_.latency(now, backend).value_or(duration{0});
+        candidate.running = gateway_.running(backend);
         candidate.slots = registration.slots;
         candidate.primary = primary;
         candidate.last_used = session.last_backend == backend;
@@ -161,70 +161,67 @@
     return send(now, session, *chosen, proved_primary ? std::nullopt : wanted, out);
 }
 
-session_needs statement_executor::needs_of(const caller_session& session) const {
-    session_needs needs;
-    needs.organisation = session.organisation;
-    needs.values = &session.values;
-    needs.writes = session.work->writes;
-    if (session.work->statement.kind == statement_kind::execute) {
-        const auto found = session.prepared.find(session.work->statement.name);
-        needs.prepared = found == session.prepared.end() ? nullptr : &found->second;
-    }
-    return needs;
-}
-
 bool statement_executor::send(time_point now, caller_session& session,
                               const backend_server_id& backend, std::optional<log_point> after,
                               proxy_output& out) {
-    const auto connection = backends_.acquire(now, backend, needs_of(session), out);
-    if (!connection) {
+    const auto lease = gateway_.acquire(now, backend);
+    if (!lease) {
         return false;
     }
     auto& transaction = session.transaction;
     const bool opens = transaction.state == transaction_state::open;
     if (opens) {
-        transaction.connection = *connection;
+        transaction.lease = *lease;
         transaction.backend = backend;
         transaction.leader = session.work->leader;
     }
     if (!session.work->writes) {
         session.last_backend = backend;
     }
-    send_on(now, session, *connection, after, opens, out);
+    send_on(now, session, backend, *lease, after, opens, out);
     return true;
 }
 
-void statement_executor::send_on(time_point now, caller_session& session, connection_id connection,
-                                 std::optional<log_point> after, bool opens, proxy_output& out) {
+void statement_executor::send_on(time_point now, caller_session& session,
+                                 const backend_server_id& backend, connection_id lease,
+                                 const std::optional<log_point>& after, bool opens,
+                                 proxy_output& out) {
     auto& work = *session.work;
     const auto attempt = attempt_ids_.next();
     attempts_[attempt] = session.id;
-    work.attempts[attempt] = connection;
+    work.attempts[attempt] = lease;
     work.step = work_step::running;
     ++work.tries;
     const bool single_read = !opens && !session.transaction.opened && !work.writes;
     work.hedge_at = single_read && work.tries == 1
                         ? now + (work.deadline - work.received) / settings_.hedge_divisor
                         : no_deadline;
-    backend_command main;
-    main.id = work.statement.id;
+    member_statement forward;
+    forward.lease = lease;
+    forward.attempt = attempt;
+    forward.backend = backend;
+    forward.organisation = session.organisation;
+    forward.values = session.values;
+    forward.writes = work.writes;
+    forward.remaining = work.deadline - now;
+    forward.main.id = work.statement.id;
     if (work.statement.kind == statement_kind::execute) {
-        main.kind = command_kind::execute;
-        main.value = work.statement.value;
+        const auto found = session.prepared.find(work.statement.name);
+        forward.prepared = found->second;
+        forward.main.kind = command_kind::execute;
+        forward.main.value = work.statement.value;
     } else {
-        main.value = work.statement.text;
+        forward.main.value = work.statement.text;
     }
-    std::optional<backend_command> begin;
     if (opens) {
-        begin.emplace();
-        begin->kind =
+        forward.begin.emplace();
+        forward.begin->kind =
             session.transaction.read_only ? command_kind::begin_read : command_kind::begin;
-        begin->after = after;
+        forward.begin->after = after;
     } else {
-        main.after = after;
+        forward.main.after = after;
     }
-    backends_.send(now, connection, attempt, needs_of(session), std::move(begin), std::move(main),
-                   out);
+    gateway_.send(now, std::move(forward), out);
 }
 
 } // namespace jackdawvane
--- a/src/core/sessions/statement_results.cpp
+++ b/src/core/sessions/statement_results.cpp
@@ -83,10 +83,10 @@
     if (leadership.term() == work.leader && now < work.answered + settings_.confirmation_limit) {
         return;
     }
-    const auto connection = work.held->connection;
+    const auto connection = work.held->lease;
     work.held.reset();
     session.transaction = {};
-    backends_.discard(connection, out);
+    gateway_.discard(now, connection, out);
     statement_reply reply;
     reply.problem = statement_error::unknown_outcome;
     reply.detail = "the primary may have been replaced before the commit";
@@ -111,14 +111,14 @@
     if (work.statement.kind == statement_kind::commit) {
         transaction = {};
         reply.state = transaction_state::idle;
-        backends_.release(now, result.connection, false, out);
+        gateway_.release(now, result.lease, false, out);
     } else if (transaction.state == transaction_state::open) {
         transaction.opened = true;
         transaction.wrote = transaction.wrote || work.writes;
         transaction.state = reply.state;
     } else {
         reply.state = transaction_state::idle;
-        backends_.release(now, result.connection, false, out);
+        gateway_.release(now, result.lease, false, out);
     }
     finish(now, session, std::move(reply), out);
 }
@@ -129,17 +129,14 @@
     auto& transaction = session.transaction;
     work.last_problem = result.reply.problem;
     const bool not_run = promises_not_run(result.reply.problem) || !result.sent;
-    if (result.reply.problem == statement_error::busy) {
-        backends_.note_busy(now, result.backend);
-    }
     const bool own_transaction = transaction.state == transaction_state::open;
     if (not_run && !transaction.opened) {
         if (own_transaction) {
             // The transaction at the server has failed or was never opened.
-            transaction.connection = {};
-            backends_.release(now, result.connection, result.sent, out);
+            transaction.lease = {};
+            gateway_.release(now, result.lease, result.sent, out);
         } else {
-            backends_.release(now, result.connection, false, out);
+            gateway_.release(now, result.lease, false, out);
         }
         retry(now, session, result, out);
         return;
@@ -153,14 +150,14 @@
     const bool single_read = !own_transaction && !work.writes;
     if (single_read && result.reply.problem == statement_error::failed &&
         work.tries < failed_read_tries) {
-        backends_.release(now, result.connection, false, out);
+        gateway_.release(now, result.lease, false, out);
         retry(now, session, result, out);
         return;
     }
     auto reply = result.reply;
     if (work.statement.kind == statement_kind::commit) {
         transaction = {};
-        backends_.discard(result.connection, out);
+        gateway_.discard(now, result.lease, out);
         reply.state = transaction_state::idle;
         if (not_run) {
             reply.problem = statement_error::aborted;
@@ -170,7 +167,7 @@
         transaction.state = transaction_state::failed;
         reply.state = transaction_state::failed;
     } else {
-        backends_.release(now, result.connection, false, out);
+        gateway_.release(now, result.lease, false, out);
         reply.state = transaction_state::idle;
     }
     finish(now, session, std::move(reply), out);
@@ -184,11 +181,11 @@
     }
     work.last_problem = result.reply.problem;
     if ((work.retryable || !result.sent) && !session.transaction.opened) {
-        session.transaction.connection = {};
+        session.transaction.lease = {};
         retry(now, session, result, out);
         return;
     }
-    session.transaction.connection = {};
+    session.transaction.lease = {};
     give_up(now, session, "the connection to the backend server was lost", out);
 }
 
@@ -199,8 +196,7 @@
         return;
     }
     note(session, "retry",
-         "backend=" + result.backend.str() +
-             " problem=" + std::to_string(static_cast<int>(result.reply.problem)) +
+         "backend=" + result.backend.str() + " problem=" + to_string(result.reply.problem) +
              " ms=" + milliseconds(now - work.received),
          log_level::info, out);
     work.tried.insert(result.backend);
@@ -222,12 +218,12 @@
     for (const auto& [attempt, connection] : std::exchange(session.work->attempts, {})) {
         attempts_.erase(attempt);
         if (discard) {
-            backends_.discard(connection, out);
-            if (session.transaction.connection == connection) {
-                session.transaction.connection = {};
+            gateway_.discard(now, connection, out);
+            if (session.transaction.lease == connection) {
+                session.transaction.lease = {};
             }
         } else {
-            backends_.release(now, connection, false, out);
+            gateway_.release(now, connection, false, out);
         }
     }
 }
@@ -276,12 +272,11 @@
     const auto taken = now - session.work->received;
     const bool good = reply.problem == statement_error::none;
     note(session, good ? "done" : "not_done",
-         "problem=" + std::to_string(static_cast<int>(reply.problem)) +
-             " ms=" + milliseconds(taken) + " backend=" + session.last_backend.str() +
+         std::string{"problem="} + to_string(reply.problem) + " ms=" + milliseconds(taken) +
+             " backend=" + session.last_backend.str() +
              (reply.detail.empty() || good ? "" : " detail=\"" + reply.detail + "\""),
          good ? log_level::debug : log_level::info, out);
-    count(out.common, "statements_total", "problem",
-          std::to_string(static_cast<int>(reply.problem)));
+    count(out.common, "statements_total", "problem", to_string(reply.problem));
     out.common.emplace_back(measurement{metric_kind::histogram, "statement_duration", "", "",
                                         static_cast<double>(taken.count())});
     session.work.reset();
