--- a/include/jackdawvane/sessions/group_observer.hpp
+++ b/include/jackdawvane/sessions/group_observer.hpp
@@ -13,16 +13,19 @@
 
 /// @brief Intervals of the observation of backend servers.
 struct observer_settings {
-    /// Between two statuses of a backend server, and between two questions to the observer. Both
-    /// together with the round trips stay well below the validity of a proof.
-    duration status_interval{std::chrono::milliseconds{150}};
+    /// Between two statuses of a primary or of a group's witness, and between two questions to the
+    /// observer. Both together with the round trips stay well below the validity of a proof.
+    duration status_interval{std::chrono::milliseconds{250}};
+    duration query_interval{std::chrono::milliseconds{200}};
+    /// Between two statuses of a replica that is not the witness; each one takes a slot.
+    duration slow_status_interval{std::chrono::milliseconds{1000}};
     /// A backend server or observer that does not answer for this long counts as silent.
     duration answer_limit{std::chrono::milliseconds{400}};
     duration query_limit{std::chrono::milliseconds{150}};
     duration reconnect_delay{std::chrono::milliseconds{100}};
     duration silent_observer_memory{std::chrono::seconds{3}};
     /// Between two readings of the registry; a leaving server is known well before it goes.
-    duration directory_interval{std::chrono::milliseconds{700}};
+    duration directory_interval{std::chrono::milliseconds{900}};
     duration directory_retry{std::chrono::milliseconds{1500}};
     /// Directory older than this is asked of VMs in other failure domains.
     duration directory_stale{std::chrono::milliseconds{2000}};
@@ -38,9 +41,10 @@
 
 /// @brief Keeps this VM's knowledge of backend servers fresh.
 ///
-/// One VM per failure domain asks each backend server for its status and reads the registry; the
-/// others ask that VM. Who that is follows from rendezvous hashing. A VM that does not answer is
-/// passed over, so an observer that dies is replaced before its proofs run out.
+/// One VM per region asks the backend servers for their status and reads the registry; the others
+/// ask that VM. Of each group, the primary and one replica, the witness, are asked often. Who that
+/// is follows from rendezvous hashing. A VM that does not answer is passed over, so an observer
+/// that dies is replaced before its proofs run out.
 class group_observer {
   public:
     group_observer(fleet_state& state, observer_settings settings,
@@ -103,6 +107,10 @@
     void choose_role(time_point now);
     void read_directory(time_point now, proxy_output& out);
     void watch_members(time_point now, proxy_output& out);
+    /// Replica whose statuses prove the primary of @a group.
+    [[nodiscard]] backend_server_id witness(const group_id& group) const;
+    [[nodiscard]] duration interval_for(time_point now,
+                                        const backend_directory::entry& entry) const;
     void watch_member(time_point now, const backend_directory::entry& entry, control& own,
                       proxy_output& out);
     void open(time_point now, const backend_registration& member, control& own, proxy_output& out);
@@ -124,7 +132,7 @@
 
     bool always_active_{false};
     bool active_{false};
-    vm_id observer_; ///< VM of the own failure domain that is asked.
+    vm_id observer_; ///< VM of the own region that is asked.
     std::map<vm_id, time_point> silent_since_;
     struct open_query {
         vm_id to;
--- a/include/jackdawvane/sessions/messages.hpp
+++ b/include/jackdawvane/sessions/messages.hpp
@@ -242,6 +242,7 @@
     std::map<std::string, std::string> values;
     std::optional<prepared_statement> prepared; ///< Set when the statement is prepared.
     bool writes{false};
+    bool continues{false};                ///< Belongs to a transaction that is open on the lease.
     std::optional<backend_command> begin; ///< Opens a transaction before the statement.
     backend_command main;
     duration remaining{0}; ///< The statement is not started later than this after its arrival.
--- a/src/core/sessions/group_observer.cpp
+++ b/src/core/sessions/group_observer.cpp
@@ -40,10 +40,10 @@
 
 void group_observer::choose_role(time_point now) {
     std::vector<vm_entry> mates;
-    std::copy_if(state_.live.begin(), state_.live.end(), std::back_inserter(mates),
-                 [&](const vm_entry& vm) {
-                     return vm.place == state_.self.place && vm.state == vm_state::live;
-                 });
+    std::copy_if(
+        state_.live.begin(), state_.live.end(), std::back_inserter(mates), [&](const vm_entry& vm) {
+            return vm.place.region == state_.self.place.region && vm.state == vm_state::live;
+        });
     observer_ = vm_id{};
     for (const auto& vm : rank_vms(observer_task, mates)) {
         if (vm == state_.self.vm) {
@@ -113,6 +113,38 @@
     }
 }
 
+backend_server_id group_observer::witness(const group_id& group) const {
+    const auto& leadership = state_.leaderships.at(group);
+    backend_server_id chosen;
+    for (const auto& member : state_.directory.members(group)) {
+        const auto own = controls_.find(member);
+        const bool answers = own != controls_.end() && own->second.open;
+        if (leadership.primary() == member || !answers) {
+            continue;
+        }
+        const auto* entry = state_.directory.find(member);
+        const bool near = state_.region_of(entry->registration.domain) == state_.self.place.region;
+        if (chosen.empty() || near) {
+            chosen = member;
+        }
+    }
+    return chosen;
+}
+
+duration group_observer::interval_for(time_point now, const backend_directory::entry& entry) const {
+    const auto& registration = entry.registration;
+    const auto& leadership = state_.leaderships.at(registration.group);
+    if (leadership.primary() == registration.backend) {
+        // Answers to statements prove as well that it is reached.
+        const bool heard = now - leadership.primary_seen() < settings_.status_interval;
+        return heard && leadership.confirmed(now) ? settings_.slow_status_interval
+                                                  : settings_.status_interval;
+    }
+    const bool often =
+        !leadership.confirmed(now) || witness(registration.group) == registration.backend;
+    return often ? settings_.status_interval : settings_.slow_status_interval;
+}
+
 void group_observer::watch_member(time_point now, const backend_directory::entry& entry,
                                   control& own, proxy_output& out) {
     if (own.connection == connection_id{}) {
@@ -131,8 +163,10 @@
     const bool status_open =
         std::any_of(own.sent.begin(), own.sent.end(),
                     [](const sent_command& each) { return each.kind == command_kind::status; });
+    const auto interval = interval_for(now, entry);
+    own.next_status = std::min(own.next_status, now + interval);
     if (!status_open && now >= own.next_status) {
-        own.next_status = now + settings_.status_interval;
+        own.next_status = now + interval;
         backend_command status;
         status.kind = command_kind::status;
         command(now, entry.registration.backend, std::move(status), out);
@@ -255,7 +289,7 @@
     if (now < next_query_) {
         return;
     }
-    next_query_ = now + settings_.status_interval;
+    next_query_ = now + settings_.query_interval;
     send_query(now, observer_, out);
 }
 
--- a/src/core/sessions/member_gateway.cpp
+++ b/src/core/sessions/member_gateway.cpp
@@ -61,9 +61,19 @@
 }
 
 void member_gateway::send(time_point now, member_statement statement, proxy_output& out) {
-    const auto& own = leases_.at(statement.lease);
     attempts_[statement.attempt] = {statement.lease, now};
-    ++loads_[own.backend].running;
+    ++loads_[statement.backend].running;
+    const auto found = leases_.find(statement.lease);
+    if (found == leases_.end()) {
+        // The VM that held the connection is gone, and with it the transaction.
+        attempt_result lost;
+        lost.attempt = statement.attempt;
+        lost.lease = statement.lease;
+        lost.backend = statement.backend;
+        on_result(now, lost);
+        return;
+    }
+    const auto& own = found->second;
     if (own.owner == state_.self.vm) {
         owner_.submit(now, state_.self.vm, std::move(statement), out);
         return;
--- a/src/core/sessions/member_owner.cpp
+++ b/src/core/sessions/member_owner.cpp
@@ -30,6 +30,15 @@
         start(now, entry, std::move(statement), bound->second.connection, out);
         return;
     }
+    if (statement.continues) {
+        // The connection was lost. On another one the statement would run outside its transaction.
+        attempt_result lost;
+        lost.attempt = statement.attempt;
+        lost.lease = statement.lease;
+        lost.backend = statement.backend;
+        results_.push_back({entry, std::move(lost)});
+        return;
+    }
     const auto& backend = statement.backend;
     auto& queue = queues_.try_emplace(backend, settings_.queue_limit).first->second;
     std::uint32_t weight = 1;
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr const char* duty_task = "promotion";
+/// Ranks as the observers are ranked, so that the duty holder is one of them.
+constexpr const char* duty_task = "observer";
 /// Resolution of the lease and connection timers.
 constexpr duration slow_tick = std::chrono::milliseconds{50};
 /// Time for the store to take back what this VM holds, when it has no other work left.
--- a/src/core/sessions/statement_placement.cpp
+++ b/src/core/sessions/statement_placement.cpp
@@ -203,6 +203,7 @@
     forward.organisation = session.organisation;
     forward.values = session.values;
     forward.writes = work.writes;
+    forward.continues = session.transaction.opened;
     forward.remaining = work.deadline - now;
     forward.main.id = work.statement.id;
     if (work.statement.kind == statement_kind::execute) {
--- a/src/core/sessions/statement_results.cpp
+++ b/src/core/sessions/statement_results.cpp
@@ -186,6 +186,9 @@
         return;
     }
     session.transaction.lease = {};
+    if (!result.sent) {
+        work.tries = 0;
+    }
     give_up(now, session, "the connection to the backend server was lost", out);
 }
 
@@ -233,7 +236,7 @@
                                  proxy_output& out) {
     auto& work = *session.work;
     auto& transaction = session.transaction;
-    const bool sent = work.tries > 0;
+    const bool sent = work.tries > 0; // Counts only tries that may have reached a server.
     abandon_attempts(now, session, true, out);
     statement_reply reply;
     reply.detail = why;
