Serve again within a second of a restart of all VMs

Ruled out: full buckets after a restart, which would spend a burst twice.

Change: a starting VM reads the configuration itself and holds callers back for it; an owner opens at most 0.6 and keeps 0.2 of a server's connections; a request waits for the own share, which has refilled since the start of its new life; a log that ends in the present term proves it. The VM list has keys of its own (the rate limiter's lease had the same key).

--- a/include/jackdawvane/configuration/configuration_replica.hpp
+++ b/include/jackdawvane/configuration/configuration_replica.hpp
@@ -27,6 +27,8 @@
     duration retry_floor{std::chrono::milliseconds{200}};
     /// Bounds the time until the first watch after an outage, and so the delay of the next edit.
     duration retry_ceiling{std::chrono::seconds{2}};
+    /// Whether a VM without a document reads the store before it knows who the delegates are.
+    bool read_at_start{false};
     /// Over 10 times the round trip between regions.
     duration pull_timeout{std::chrono::milliseconds{300}};
 };
@@ -78,6 +80,7 @@
     bool adopt(configuration_document document, const vm_id& source, actions& out);
     bool adopt_edits(const configuration_difference& sent, const vm_id& source, actions& out);
     void announce(const vm_id& source, actions& out);
+    [[nodiscard]] bool watches() const noexcept;
     [[nodiscard]] bool behind() const noexcept;
     void want(time_point now, revision wanted, const vm_id& source, actions& out);
     void pull_from(time_point now, const vm_id& source, actions& out);
--- a/include/jackdawvane/limits/organisation_limiter.hpp
+++ b/include/jackdawvane/limits/organisation_limiter.hpp
@@ -21,6 +21,10 @@
 /// @brief Settings of the rate limiter.
 struct rate_limiter_settings {
     duration pending{std::chrono::milliseconds{50}}; ///< Longest wait for tokens of other VMs.
+    duration joining{
+        std::chrono::milliseconds{50}}; ///< As `pending`, before the share is confirmed.
+    /// Whether a request may also wait for the own share to refill.
+    bool waits_for_own_share{false};
     duration grant_validity{std::chrono::milliseconds{150}}; ///< Grants are accepted this long.
     duration lease{std::chrono::seconds{30}};
     duration lease_renewal{std::chrono::seconds{10}};
@@ -32,6 +36,8 @@
     static constexpr auto fields() {
         using self = rate_limiter_settings;
         return std::tuple{field("pending_us", &self::pending),
+                          field("joining_us", &self::joining),
+                          field("waits_for_own_share", &self::waits_for_own_share),
                           field("grant_validity_us", &self::grant_validity),
                           field("lease_us", &self::lease),
                           field("lease_renewal_us", &self::lease_renewal),
@@ -100,6 +106,7 @@
     };
 
     void follow_ledger(time_point now);
+    void take_inheritance(time_point now);
     void update(time_point now, actions& out);
     void serve(time_point now);
     void spend_grant(time_point now, double amount);
@@ -119,6 +126,7 @@
     [[nodiscard]] token_donors::candidate candidate(const vm_entry& vm) const;
     [[nodiscard]] bool uses_share() const noexcept;
     [[nodiscard]] std::vector<vm_id> chosen_holders() const;
+    [[nodiscard]] time_point own_chance(time_point now) const;
     [[nodiscard]] time_point last_wait() const noexcept;
 
     organisation_id organisation_;
@@ -132,6 +140,8 @@
     std::map<std::pair<vm_id, request_id>, transit> transits_;
     std::vector<token_donors::candidate> candidates_;
 
+    time_point started_{}; ///< When the organisation was configured here.
+    bool inheritance_taken_{false};
     double demand_{0};
     time_point demand_at_{};
     bool short_of_tokens_{false}; ///< Asked for tokens since the last share request.
--- a/include/jackdawvane/limits/share_ledger.hpp
+++ b/include/jackdawvane/limits/share_ledger.hpp
@@ -109,6 +109,8 @@
     [[nodiscard]] bool holder() const noexcept;
     /// @brief Whether the share may be used: confirmed since the last pause past the lease.
     [[nodiscard]] bool verified() const noexcept { return verified_; }
+    /// @brief Whether the own part was that of an earlier life of this VM.
+    [[nodiscard]] bool inherited() const noexcept { return inherited_; }
     /// @brief Whether this VM shall hold a share.
     [[nodiscard]] bool target() const noexcept;
     /// @brief Whether `leave` has finished.
@@ -174,11 +176,12 @@
     bool leaving_{false};
 
     share_record record_;
-    share_record proposed_;      ///< Record of the swap in flight.
-    std::uint64_t version_{0};   ///< Version of `record_`.
-    std::uint64_t noticed_{0};   ///< Highest version that another VM reported.
-    bool read_needed_{true};     ///< The present record is not known.
-    bool verified_{false};       ///< The own part may be used.
+    share_record proposed_;    ///< Record of the swap in flight.
+    std::uint64_t version_{0}; ///< Version of `record_`.
+    std::uint64_t noticed_{0}; ///< Highest version that another VM reported.
+    bool read_needed_{true};   ///< The present record is not known.
+    bool verified_{false};     ///< The own part may be used.
+    bool inherited_{false};
     bool confirm_needed_{false}; ///< The own entry has to be written again before it is used.
     std::vector<proposal> unresolved_;
     std::optional<transfer> transfer_;
--- a/include/jackdawvane/sessions/backend_sessions.hpp
+++ b/include/jackdawvane/sessions/backend_sessions.hpp
@@ -14,9 +14,12 @@
 
 /// @brief Limits of the connections to backend servers.
 struct backend_session_settings {
-    /// Connections that the owner leaves free at a backend server: the observers of three failure
-    /// domains and the duty holder need one each, and a take-over one more.
-    std::uint32_t reserve{5};
+    /// Part of a backend server's connections that its owner opens at most. The server keeps those
+    /// of a VM that has lost power for some seconds, and the next owner needs some meanwhile.
+    double open_part{0.6};
+    /// Part of a backend server's connections that the owner keeps idle. A new one costs a slot
+    /// for some milliseconds only.
+    double idle_part{0.2};
     /// Statements in hand at one backend server, in slots of the server. More would wait in the
     /// server's queue, where organisations are not served in turn.
     std::uint32_t window_per_slot{2};
@@ -136,7 +139,10 @@
     void become_idle(time_point now, connection_id id, proxy_output& out);
     void erase(connection_id id);
     void fail_open_attempts(connection_id id, session& own, const member_closed& closed);
+    [[nodiscard]] std::uint32_t connection_part(const backend_registration& backend,
+                                                double part) const;
     [[nodiscard]] std::uint32_t open_limit(const backend_registration& backend) const;
+    void trim_idle(const backend_registration& backend, proxy_output& out);
     [[nodiscard]] std::uint64_t fit(const session& own, const session_needs& needs) const;
 
     fleet_state& state_;
--- a/include/jackdawvane/sessions/session_proxy.hpp
+++ b/include/jackdawvane/sessions/session_proxy.hpp
@@ -22,7 +22,15 @@
     std::map<failure_domain_id, region_id> regions;
     std::uint64_t random_seed{1};
     std::size_t holders_per_domain{3}; ///< Share holders per failure domain.
-    duration token_wait{from_milliseconds(50)};
+    /// Longest wait of an operation for its organisation's rate; far below any target latency.
+    duration token_wait{from_milliseconds(200)};
+    /// As `token_wait`, while this VM's share is not confirmed after its start.
+    duration joining_wait{from_milliseconds(900)};
+    /// Joins of VMs that start together are spread over this time.
+    duration share_join_spread{from_milliseconds(80)};
+    /// Tokens in transit are void after 150 ms; a part changes hands after that.
+    duration share_settle{from_milliseconds(220)};
+    duration share_retry{from_milliseconds(60)};
     duration lease_renewal{from_milliseconds(1500)};
     /// Life of a lease not renewed; the share of a killed VM is out of use for this time.
     duration lease_duration{from_milliseconds(5000)};
--- a/include/jackdawvane/sessions/statement_executor.hpp
+++ b/include/jackdawvane/sessions/statement_executor.hpp
@@ -50,6 +50,9 @@
     duration domain_round_trip{std::chrono::milliseconds{1}};
     duration region_round_trip{std::chrono::milliseconds{2}};
     duration far_round_trip{std::chrono::milliseconds{17}};
+    /// A session that starts before the first configuration is known waits this long for it;
+    /// callers wait two seconds for the greeting.
+    duration start_wait{std::chrono::milliseconds{1700}};
     /// Statements that a session may have sent ahead.
     std::size_t pipeline_limit{32};
     /// The balancer sends no new connections this long after the first failed readiness check.
@@ -73,6 +76,8 @@
     void on(time_point now, const session_broken& what, proxy_output& out);
     void on(time_point now, const session_closed& what, proxy_output& out);
     void on_admission(time_point now, const admission& decision, proxy_output& out);
+    /// @brief Starts the sessions that wait for a configuration, or refuses those that waited long.
+    void start_waiting(time_point now, proxy_output& out);
     /// @brief Handles ended attempts and places what waits.
     void settle(time_point now, proxy_output& out);
     void tick(time_point now, proxy_output& out);
@@ -97,8 +102,17 @@
         const route_row* row{nullptr};
         group_id group;
     };
+    /// Session that waits for the first configuration; the key's digest is kept, not the key.
+    struct waiting_start {
+        route_name database;
+        key_digest key;
+        time_point since{};
+    };
     using queue_key = std::tuple<std::uint32_t, time_point, session_id>;
 
+    void open_session(time_point now, session_id id, const route_name& database,
+                      const key_digest& key, proxy_output& out);
+
     // Sessions and statements that need no backend server.
     void start_next(time_point now, caller_session& session, proxy_output& out);
     void start(time_point now, caller_session& session, statement next, proxy_output& out);
@@ -168,6 +182,7 @@
     executor_settings settings_;
     id_sequence<attempt_id> attempt_ids_;
     std::map<session_id, caller_session> sessions_;
+    std::map<session_id, waiting_start> starts_;
     std::map<session_id, operation_route> routes_;
     std::map<attempt_id, session_id> attempts_;
     std::set<queue_key> waiting_;
--- a/src/core/configuration/configuration_replica.cpp
+++ b/src/core/configuration/configuration_replica.cpp
@@ -31,6 +31,10 @@
     return document_ ? document_->revision : revision{};
 }
 
+bool configuration_replica::watches() const noexcept {
+    return is_delegate_ || (settings_.read_at_start && !document_);
+}
+
 bool configuration_replica::behind() const noexcept {
     return !document_ || present() < wanted_;
 }
@@ -62,7 +66,7 @@
         watch_pending_ = false;
         watch_failed(now);
     }
-    if (!watch_pending_ && is_delegate_ && now >= watch_at_) {
+    if (!watch_pending_ && watches() && now >= watch_at_) {
         watch(now, out);
     }
     if (behind() && now >= pull_at_) {
@@ -71,7 +75,7 @@
 }
 
 time_point configuration_replica::next_deadline() const {
-    const auto watch_due = watch_pending_ || is_delegate_ ? watch_at_ : no_deadline;
+    const auto watch_due = watch_pending_ || watches() ? watch_at_ : no_deadline;
     return behind() && live_.size() > 1 ? std::min(watch_due, pull_at_) : watch_due;
 }
 
--- a/src/core/limits/organisation_limiter.cpp
+++ b/src/core/limits/organisation_limiter.cpp
@@ -28,6 +28,8 @@
 /// Organisations with a small burst have fewer holders, so that each has this much of it. In
 /// smaller parts the tokens of a small organisation are scattered and requests are refused.
 constexpr double smallest_burst_part = 4;
+/// Longest time before the confirmation of an inherited part for which it has refilled.
+constexpr duration longest_inheritance = std::chrono::seconds{1};
 constexpr double region_preference = 0.8;
 constexpr double distant_preference = 0.5;
 
@@ -38,6 +40,7 @@
 
 void organisation_limiter::configure(time_point now, revision newer, const organisation_row& row,
                                      actions& out) {
+    started_ = row_ ? started_ : now;
     row_ = row;
     messages_.set_limits(now, context_.limits.messages_per_second, message_burst);
     ledger_.configure(now, newer, {row.rate, row.burst}, out);
@@ -67,14 +70,16 @@
         return {handle, admission_state::admitted, {error_kind::none, {}, {}}};
     }
     consider_share_request(now, out);
-    const auto give_up = std::min(deadline, now + context_.limits.pending);
+    const auto patience = uses_share() ? context_.limits.pending : context_.limits.joining;
+    const auto give_up = std::min(deadline, now + patience);
     if (waiting_.size() >= longest_line || give_up <= now) {
         short_at_ = now;
         return {handle, admission_state::refused, refusal(now)};
     }
     waiting_.push_back({handle, give_up});
     ask(now, out);
-    if (donors_.open() == 0 && donors_.next_chance(now, candidates_) > give_up) {
+    if (donors_.open() == 0 && donors_.next_chance(now, candidates_) > give_up &&
+        own_chance(now) > give_up) {
         waiting_.pop_back();
         return {handle, admission_state::refused, refusal(now)};
     }
@@ -132,6 +137,7 @@
 /// Brings everything up to date after an event.
 void organisation_limiter::update(time_point now, actions& out) {
     follow_ledger(now);
+    take_inheritance(now);
     settle_expired(now);
     donors_.expire(now);
     serve(now);
@@ -147,6 +153,18 @@
     }
 }
 
+/// The earlier life of this VM ended before this one started; since then its part has refilled.
+void organisation_limiter::take_inheritance(time_point now) {
+    if (inheritance_taken_ || !uses_share() || !ledger_.holder()) {
+        return;
+    }
+    inheritance_taken_ = true;
+    if (ledger_.inherited()) {
+        const auto refilled = std::min(now - started_, longest_inheritance);
+        bucket_.add(now, bucket_.rate() * std::chrono::duration<double>(refilled).count());
+    }
+}
+
 bool organisation_limiter::uses_share() const noexcept {
     return row_.has_value() && ledger_.verified();
 }
@@ -223,8 +241,9 @@
 }
 
 void organisation_limiter::refuse_hopeless(time_point now) {
-    const bool hopeless =
-        donors_.open() == 0 && donors_.next_chance(now, candidates_) > last_wait();
+    const bool hopeless = donors_.open() == 0 &&
+                          donors_.next_chance(now, candidates_) > last_wait() &&
+                          own_chance(now) > last_wait();
     for (std::size_t i = 0; i < waiting_.size();) {
         if (!hopeless && waiting_[i].deadline > now) {
             ++i;
@@ -235,6 +254,15 @@
     }
 }
 
+/// When the own share has tokens for all that wait. A share that is not confirmed yet may be at
+/// any moment.
+time_point organisation_limiter::own_chance(time_point now) const {
+    if (!context_.limits.waits_for_own_share) {
+        return no_deadline;
+    }
+    return uses_share() ? bucket_.time_of(now, static_cast<double>(waiting_.size())) : now;
+}
+
 time_point organisation_limiter::last_wait() const noexcept {
     auto last = time_point::min();
     for (const auto& each : waiting_) {
--- a/src/core/limits/share_ledger_calls.cpp
+++ b/src/core/limits/share_ledger_calls.cpp
@@ -128,6 +128,8 @@
 void share_ledger::observe(time_point now, share_record record, std::uint64_t version,
                            actions& out) {
     const bool was_holder = holder();
+    const auto* const earlier = record.find(context_.self);
+    inherited_ = inherited_ || (earlier != nullptr && earlier->incarnation < context_.incarnation);
     if (version != version_) {
         expired_.clear(); // A holder may have confirmed its entry since its lease was read.
     }
--- a/src/core/sessions/backend_sessions.cpp
+++ b/src/core/sessions/backend_sessions.cpp
@@ -19,10 +19,35 @@
                                    id_sequence<connection_id>& ids)
     : state_{state}, settings_{settings}, ids_{ids} {}
 
-std::uint32_t backend_sessions::open_limit(const backend_registration& backend) const {
+std::uint32_t backend_sessions::connection_part(const backend_registration& backend,
+                                                double part) const {
     const auto* row = state_.find_group(backend.group);
-    const auto limit = row == nullptr ? std::uint32_t{0} : row->connection_limit;
-    return limit > settings_.reserve ? limit - settings_.reserve : 1;
+    const auto limit = row == nullptr ? 0.0 : static_cast<double>(row->connection_limit);
+    return std::max(1U, static_cast<std::uint32_t>(limit * part));
+}
+
+std::uint32_t backend_sessions::open_limit(const backend_registration& backend) const {
+    return connection_part(backend, settings_.open_part);
+}
+
+/// Closes the idle connection that was heard longest ago when there are too many.
+void backend_sessions::trim_idle(const backend_registration& backend, proxy_output& out) {
+    std::uint32_t idle = 0;
+    connection_id oldest;
+    time_point oldest_heard = no_deadline;
+    for (const auto& [id, own] : sessions_) {
+        if (own.backend != backend.backend || own.in_use) {
+            continue;
+        }
+        ++idle;
+        if (own.heard < oldest_heard) {
+            oldest_heard = own.heard;
+            oldest = id;
+        }
+    }
+    if (idle > connection_part(backend, settings_.idle_part)) {
+        discard(oldest, out);
+    }
 }
 
 bool backend_sessions::avoided(time_point now, const backend_server_id& backend) const {
@@ -389,7 +414,8 @@
     const auto* entry = state_.directory.find(own.backend);
     if (entry == nullptr || entry->registration.leaving) {
         discard(id, out);
-        return;
+    } else {
+        trim_idle(entry->registration, out);
     }
 }
 
--- a/src/core/sessions/group_leadership.cpp
+++ b/src/core/sessions/group_leadership.cpp
@@ -28,6 +28,10 @@
     if (primary_ == member && status.term == term_) {
         stepped_down_ = status.role != backend_role::primary;
         primary_seen_ = std::max(primary_seen_, asked);
+        // VMs commit in a term only after all proofs of the terms before have run out.
+        if (status.received.term == term_) {
+            usable_from_ = std::min(usable_from_, now);
+        }
     }
     own = {asked, status.term <= term_ && status.held_term <= term_, status.held_term > term_,
            false};
--- a/src/core/sessions/promotion_duty.cpp
+++ b/src/core/sessions/promotion_duty.cpp
@@ -376,6 +376,11 @@
                 send(now, member, command_kind::resume, {}, out);
             }
         }
+        const auto log_end = last_status_[own.candidate].received;
+        log(out.common, log_part, log_level::info,
+            in_group(group, "leads term=" + std::to_string(leadership.term().value()) +
+                                " log=" + std::to_string(log_end.term.value()) + "." +
+                                std::to_string(log_end.position.value())));
         end(now, group, "done", out);
         return;
     }
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -37,12 +37,18 @@
     configuration_replica_settings replica;
     replica.self = settings.self.vm;
     replica.domain = settings.self.place.domain;
+    replica.read_at_start = true;
     return replica;
 }
 
 rate_limiter_settings limiter_settings(const session_proxy_settings& settings) {
     rate_limiter_settings limits;
     limits.pending = settings.token_wait;
+    limits.joining = settings.joining_wait;
+    limits.waits_for_own_share = true;
+    limits.shares.join_spread = settings.share_join_spread;
+    limits.shares.settle = settings.share_settle;
+    limits.shares.shortest_retry = settings.share_retry;
     limits.lease = settings.lease_duration;
     limits.lease_renewal = settings.lease_renewal;
     limits.holders_per_domain = static_cast<std::uint32_t>(settings.holders_per_domain);
--- a/src/core/sessions/statement_executor.cpp
+++ b/src/core/sessions/statement_executor.cpp
@@ -27,22 +27,49 @@
     : state_{state}, gateway_{gateway}, limits_{limits}, settings_{settings} {}
 
 void statement_executor::on(time_point now, const session_started& what, proxy_output& out) {
+    const auto key = digest_of(what.key);
+    if (state_.configuration) {
+        open_session(now, what.session, what.database, key, out);
+    } else {
+        starts_[what.session] = {what.database, key, now};
+    }
+}
+
+void statement_executor::start_waiting(time_point now, proxy_output& out) {
+    if (starts_.empty()) {
+        return;
+    }
+    const auto due = [&](const auto& each) {
+        return state_.configuration || now - each.second.since >= settings_.start_wait;
+    };
+    for (auto it = starts_.begin(); it != starts_.end();) {
+        if (!due(*it)) {
+            ++it;
+            continue;
+        }
+        const auto [id, start] = *it;
+        it = starts_.erase(it);
+        open_session(now, id, start.database, start.key, out);
+    }
+}
+
+void statement_executor::open_session(time_point now, session_id id, const route_name& database,
+                                      const key_digest& key, proxy_output& out) {
     caller_session session;
-    session.id = what.session;
-    session.database = what.database;
-    session.key = digest_of(what.key);
+    session.id = id;
+    session.database = database;
+    session.key = key;
     session.last_activity = now;
-    const auto problem = select_route(session);
-    if (problem) {
+    if (const auto problem = select_route(session)) {
         log(out.common, "session", log_level::info,
-            "rejected session=" + std::to_string(what.session.value()) +
-                " database=" + what.database.str() + " reason=\"" + problem->detail + "\"");
+            "rejected session=" + std::to_string(id.value()) + " database=" + database.str() +
+                " reason=\"" + problem->detail + "\"");
         count(out.common, "sessions_rejected_total", "reason", problem->detail);
-        out.sessions.emplace_back(reject_session{what.session, problem->problem, problem->detail});
+        out.sessions.emplace_back(reject_session{id, problem->problem, problem->detail});
         return;
     }
-    sessions_[what.session] = std::move(session);
-    out.sessions.emplace_back(greet_session{what.session});
+    sessions_[id] = std::move(session);
+    out.sessions.emplace_back(greet_session{id});
 }
 
 /// Route filter and key filter: the configuration in force decides at each operation.
@@ -104,6 +131,7 @@
 }
 
 void statement_executor::close(time_point now, session_id id, proxy_output& out) {
+    starts_.erase(id);
     const auto found = sessions_.find(id);
     if (found == sessions_.end()) {
         return;
@@ -313,6 +341,7 @@
 }
 
 void statement_executor::settle(time_point now, proxy_output& out) {
+    start_waiting(now, out);
     bool progress = true;
     while (progress) {
         const auto results = gateway_.take_results();
--- a/src/core/sessions/vm_registration.cpp
+++ b/src/core/sessions/vm_registration.cpp
@@ -15,7 +15,7 @@
     : self_{std::move(self)}, settings_{settings}, ids_{ids} {}
 
 std::string vm_registration::key() const {
-    return "vms/" + self_.vm.str();
+    return "fleet/" + self_.vm.str(); // The rate limiter keeps its lease under vms/.
 }
 
 void vm_registration::tick(time_point now, actions& out) {
