Do not send writes to a primary that nobody has heard

Ruled out: a shorter timeout, which would break off work of a slow primary. The new test fails without the change.

--- a/include/jackdawvane/sessions/statement_executor.hpp
+++ b/include/jackdawvane/sessions/statement_executor.hpp
@@ -41,6 +41,10 @@
     /// A statement that cannot be placed is refused this long before its timeout, so that the
     /// refusal arrives in time.
     duration refusal_margin{std::chrono::milliseconds{60}};
+    /// Nothing is sent to a primary that no VM has heard for this long: what a silent server is
+    /// sent ends as unknown, what waits can be refused as not run. Above the status interval, the
+    /// question to the observer and the round trips.
+    duration primary_silence{std::chrono::milliseconds{700}};
     /// Between two tries of a statement that a backend server had no room for.
     duration retry_pause{std::chrono::milliseconds{20}};
     /// Longest wait for proof that the primary of an answered write was not replaced.
--- a/src/adapters/session_port.cpp
+++ b/src/adapters/session_port.cpp
@@ -19,7 +19,7 @@
   public:
     implementation(boost::asio::io_context& context, const session_port_settings& settings,
                    const session_codec& codec, proxy_event_sink sink)
-        : context_{context}, settings_{settings}, codec_{codec}, sink_{std::move(sink)},
+        : settings_{settings}, codec_{codec}, sink_{std::move(sink)},
           acceptor_{detail::listen_on(context, settings.listen)}, retry_{context.get_executor()} {}
 
     void accept();
@@ -34,7 +34,6 @@
     void take(session_id session, std::string_view line);
     void ended(session_id session, detail::stream_end reason);
 
-    boost::asio::io_context& context_;
     session_port_settings settings_;
     const session_codec& codec_;
     proxy_event_sink sink_;
--- a/src/core/sessions/backend_sessions.cpp
+++ b/src/core/sessions/backend_sessions.cpp
@@ -451,10 +451,10 @@
     for (const auto& [id, own] : sessions_) {
         const auto* entry = state_.directory.find(own.backend);
         const bool unwanted = entry == nullptr || entry->registration.leaving;
-        if (!own.in_use && (unwanted || now - own.heard > settings_.idle_limit)) {
-            closing.push_back(id);
-        } else if (own.release_when_quiet && !own.waiting.empty() &&
-                   now - own.waiting.front().sent > settings_.abandoned_limit) {
+        const bool unused = !own.in_use && (unwanted || now - own.heard > settings_.idle_limit);
+        const bool abandoned = own.release_when_quiet && !own.waiting.empty() &&
+                               now - own.waiting.front().sent > settings_.abandoned_limit;
+        if (unused || abandoned) {
             closing.push_back(id);
         } else if (!own.open && now - own.opened_at > settings_.connect_limit) {
             failing.push_back(id);
--- a/src/core/sessions/group_observer.cpp
+++ b/src/core/sessions/group_observer.cpp
@@ -134,14 +134,8 @@
 duration group_observer::interval_for(time_point now, const backend_directory::entry& entry) const {
     const auto& registration = entry.registration;
     const auto& leadership = state_.leaderships.at(registration.group);
-    if (leadership.primary() == registration.backend) {
-        // Answers to statements prove as well that it is reached.
-        const bool heard = now - leadership.primary_seen() < settings_.status_interval;
-        return heard && leadership.confirmed(now) ? settings_.slow_status_interval
-                                                  : settings_.status_interval;
-    }
-    const bool often =
-        !leadership.confirmed(now) || witness(registration.group) == registration.backend;
+    const bool often = !leadership.confirmed(now) || leadership.primary() == registration.backend ||
+                       witness(registration.group) == registration.backend;
     return often ? settings_.status_interval : settings_.slow_status_interval;
 }
 
--- a/tests/core/statement_executor_test.cpp
+++ b/tests/core/statement_executor_test.cpp
@@ -92,6 +92,17 @@
     EXPECT_NE(answers.front().detail.find("retry_after_ms"), std::string::npos);
 }
 
+// kdrp-vane inc-23ab: writes to a primary that was cut off ended as unknown after their timeout.
+TEST_F(StatementExecutor, WriteIsNotSentToASilentPrimary) {
+    fixture.state.leadership(group_id{"g"})
+        .on_status(at(790), at(790), backend_server_id{"r1"}, replica_status(1, point(1, 10)));
+    fixture.say(800, write_one());
+    EXPECT_TRUE(fixture.take<open_member>().empty());
+    fixture.prove(810);
+    fixture.tick(820);
+    EXPECT_EQ(fixture.take<open_member>().size(), 1U);
+}
+
 TEST_F(StatementExecutor, WriteOnALostConnectionIsUnknownAndNotSentAgain) {
     fixture.say(1, write_one());
     fixture.accept(2);
