Drop what a peer has not received when a connection is given up

The log showed a promotion's hold 11 s after it was sent. Ruled out: the queue of the channel, which is discarded.

Change: connections to VMs and backend servers are reset when they are given up.

--- a/src/adapters/asio_types.hpp
+++ b/src/adapters/asio_types.hpp
@@ -46,6 +46,16 @@
     return {value.address().to_string(), value.port()};
 }
 
+/// @brief Closes @a socket so that what the peer has not received yet is dropped.
+///
+/// After an ordinary close the kernel goes on sending: behind a cut that heals, messages that were
+/// given up would arrive many seconds late.
+inline void reset_connection(tcp_socket& socket) {
+    error_code ignored;
+    socket.set_option(asio::socket_base::linger{true, 0}, ignored);
+    socket.close(ignored);
+}
+
 /// @brief Acceptor that listens on @a where.
 /// @throws std::runtime_error with the remedy when that is not possible
 inline tcp_acceptor listen_on(asio::io_context& context, const endpoint& where) {
--- a/src/adapters/line_stream.cpp
+++ b/src/adapters/line_stream.cpp
@@ -157,7 +157,10 @@
     }
     if (output_.empty()) {
         if (close_when_written_) {
-            close();
+            closed_ = true;
+            error_code ignored;
+            socket_.shutdown(tcp::socket::shutdown_both, ignored);
+            socket_.close(ignored);
         }
         return;
     }
@@ -192,8 +195,7 @@
     closed_ = true;
     on_line_ = nullptr;
     on_end_ = nullptr;
-    error_code ignored;
-    socket_.close(ignored);
+    reset_connection(socket_);
 }
 
 void line_stream::close_after_write() {
--- a/src/adapters/line_stream.hpp
+++ b/src/adapters/line_stream.hpp
@@ -32,6 +32,7 @@
     void on_line(line_callback callback) { on_line_ = std::move(callback); }
     void on_end(end_callback callback) { on_end_ = std::move(callback); }
     void write(std::string_view text);
+    /// @brief Closes at once; what the peer has not received is dropped.
     void close();
     /// @brief Closes once everything that was written has left.
     void close_after_write();
--- a/src/adapters/peer_outgoing.cpp
+++ b/src/adapters/peer_outgoing.cpp
@@ -134,8 +134,7 @@
 void peer_outgoing::discard() {
     closed_ = true;
     on_closed_ = nullptr;
-    error_code ignored;
-    socket_.close(ignored);
+    reset_connection(socket_);
 }
 
 void peer_outgoing::fail() {
--- /dev/null
+++ b/tests/platform/session_ports_test.cpp
@@ -0,0 +1,122 @@
+#include "jackdawvane/adapters/session_ports.hpp"
+
+#include <utility>
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include "platform/line_codec.hpp"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace jackdawvane::platform {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+class SessionPorts : public ::testing::Test {
+  protected:
+    proxy_event_sink sink() {
+        return [this](proxy_event&& what) { events.push_back(std::move(what)); };
+    }
+    template <class Event>
+    const Event* last() const {
+        return events.empty() ? nullptr : std::get_if<Event>(&events.back());
+    }
+
+    asio::io_context context;
+    line_codec codec;
+    std::vector<proxy_event> events;
+    tcp::acceptor acceptor{context, {asio::ip::make_address("127.0.0.1"), 0}};
+};
+
+TEST_F(SessionPorts, MemberAnswersAreGatheredUntilTheEnd) {
+    member_port members{context, {}, codec, sink()};
+    open_member start;
+    start.connection = connection_id{1};
+    start.endpoint = {"127.0.0.1", acceptor.local_endpoint().port()};
+    start.group = group_id{"g"};
+    start.organisation = organisation_id{"o"};
+    start.expected = backend_server_id{"i"};
+    members.open(start);
+    auto server = acceptor.accept();
+    context.run_for(milliseconds{50});
+    std::string received;
+    asio::read_until(server, asio::dynamic_buffer(received), "\n");
+    EXPECT_EQ(received, "STARTUP g o i\r\n");
+    asio::write(server, asio::buffer(std::string{"READY I 1.2\r\n"}));
+    context.restart();
+    context.run_for(milliseconds{50});
+    ASSERT_NE(last<member_ready>(), nullptr);
+    asio::write(server, asio::buffer(std::string{"ROW a\r\nROW b\r\nCOMPLETE s\r\nREA"}));
+    context.restart();
+    context.run_for(milliseconds{50});
+    EXPECT_EQ(last<member_replied>(), nullptr);
+    asio::write(server, asio::buffer(std::string{"DY I 1.3\r\n"}));
+    context.restart();
+    context.run_for(milliseconds{50});
+    ASSERT_NE(last<member_replied>(), nullptr);
+    EXPECT_EQ(last<member_replied>()->reply.rows, (std::vector<std::string>{"a", "b"}));
+}
+
+// A write that was given up must not run after a cut has healed.
+TEST_F(SessionPorts, ClosedMemberConnectionIsReset) {
+    member_port members{context, {}, codec, sink()};
+    open_member start;
+    start.connection = connection_id{1};
+    start.endpoint = {"127.0.0.1", acceptor.local_endpoint().port()};
+    members.open(start);
+    auto server = acceptor.accept();
+    context.run_for(milliseconds{50});
+    members.close(connection_id{1});
+    std::array<char, 64> buffer{};
+    boost::system::error_code failure;
+    while (!failure) {
+        server.read_some(asio::buffer(buffer), failure);
+    }
+    EXPECT_EQ(failure, asio::error::connection_reset);
+}
+
+TEST_F(SessionPorts, RefusedConnectionIsToldApart) {
+    const auto port = acceptor.local_endpoint().port();
+    acceptor.close();
+    member_port members{context, {}, codec, sink()};
+    open_member start;
+    start.connection = connection_id{1};
+    start.endpoint = {"127.0.0.1", port};
+    members.open(start);
+    context.run_for(milliseconds{50});
+    ASSERT_NE(last<member_closed>(), nullptr);
+    EXPECT_EQ(last<member_closed>()->reason, close_reason::refused);
+}
+
+TEST_F(SessionPorts, CallersLinesBecomeEvents) {
+    const auto port = acceptor.local_endpoint().port();
+    acceptor.close();
+    session_port_settings settings;
+    settings.listen = {"127.0.0.1", port};
+    settings.line_limit = 1000;
+    session_port sessions{context, settings, codec, sink()};
+    tcp::socket caller{context};
+    caller.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::write(caller, asio::buffer(std::string{"STARTUP db key\r\nQUERY 1 READ a\r\n"}));
+    context.run_for(milliseconds{50});
+    ASSERT_EQ(events.size(), 2U);
+    EXPECT_EQ(std::get<session_started>(events[0]).database, route_name{"db"});
+    EXPECT_EQ(std::get<statement_received>(events[1]).statement.kind, statement_kind::read);
+    asio::write(caller, asio::buffer(std::string(9000, 'x')));
+    context.restart();
+    context.run_for(milliseconds{50});
+    ASSERT_EQ(events.size(), 4U);
+    EXPECT_TRUE(std::holds_alternative<session_broken>(events[2]));
+    EXPECT_TRUE(std::holds_alternative<session_closed>(events[3]));
+}
+
+} // namespace
+} // namespace jackdawvane::platform
