--- a/include/jackdawvane/sessions/messages.hpp
+++ b/include/jackdawvane/sessions/messages.hpp
@@ -51,6 +51,9 @@
     unknown,
 };
 
+/// @brief Name of @a kind in logs.
+[[nodiscard]] const char* to_string(statement_kind kind) noexcept;
+
 /// @brief One statement of a caller.
 struct statement {
     statement_id id;
--- a/include/jackdawvane/sessions/statement_executor.hpp
+++ b/include/jackdawvane/sessions/statement_executor.hpp
@@ -177,6 +177,7 @@
     void check_work(time_point now, caller_session& session, proxy_output& out);
     void check_idle(time_point now, caller_session& session, proxy_output& out);
     void close(time_point now, session_id id, proxy_output& out);
+    [[nodiscard]] std::string evidence(time_point now, const caller_session& session) const;
     [[nodiscard]] std::string unavailable(time_point now, const caller_session& session) const;
     void note(const caller_session& session, const char* outcome, const std::string& more,
               log_level level, proxy_output& out) const;
--- a/src/core/sessions/statement_executor.cpp
+++ b/src/core/sessions/statement_executor.cpp
@@ -406,9 +406,13 @@
                        " organisation=" + session.organisation.str();
     if (session.work) {
         text += " request=" + session.work->statement.id.str() +
-                " kind=" + std::to_string(static_cast<int>(session.work->statement.kind)) +
+                " kind=" + to_string(session.work->statement.kind) +
                 " tries=" + std::to_string(session.work->tries);
     }
+    const auto route = routes_.find(session.id);
+    if (route != routes_.end() && route->second.configuration) {
+        text += " revision=" + std::to_string(route->second.configuration->revision.value());
+    }
     log(out.common, "statement", level, text + (more.empty() ? "" : " ") + more);
 }
 
--- a/src/core/sessions/statement_results.cpp
+++ b/src/core/sessions/statement_results.cpp
@@ -289,6 +289,23 @@
     start_next(now, session, out);
 }
 
+/// What was known of the group's primary, with its age.
+std::string statement_executor::evidence(time_point now, const caller_session& session) const {
+    const auto route = routes_.find(session.id);
+    if (route == routes_.end()) {
+        return {};
+    }
+    const auto& leadership = state_.leadership(route->second.group);
+    const auto age = [&](time_point when) {
+        return when == time_point::min() ? std::string{"never"} : milliseconds(now - when);
+    };
+    return " group=" + route->second.group.str() +
+           " term=" + std::to_string(leadership.term().value()) +
+           " primary=" + (leadership.primary() ? leadership.primary()->str() : "-") +
+           " proof_age_ms=" + age(leadership.confirmed_at()) +
+           " primary_age_ms=" + age(leadership.primary_seen());
+}
+
 std::string statement_executor::unavailable(time_point now, const caller_session& session) const {
     const auto& leadership = state_.leadership(routes_.at(session.id).group);
     std::string reason = "no backend server has room";
