--- a/include/jackdawvane/sessions/backend_sessions.hpp
+++ b/include/jackdawvane/sessions/backend_sessions.hpp
@@ -96,8 +96,6 @@
                                                   const backend_server_id& backend) const;
     /// @brief Whether connections to @a backend fail.
     [[nodiscard]] bool avoided(time_point now, const backend_server_id& backend) const;
-    /// @brief Passes @a backend over for a moment, as it cannot take more.
-    void note_busy(time_point now, const backend_server_id& backend);
     [[nodiscard]] std::size_t size() const noexcept { return sessions_.size(); }
     /// @brief Closes the idle connections to @a backend.
     void close_idle(const backend_server_id& backend, proxy_output& out);
--- a/include/jackdawvane/sessions/session_proxy.hpp
+++ b/include/jackdawvane/sessions/session_proxy.hpp
@@ -26,6 +26,9 @@
     duration token_wait{from_milliseconds(200)};
     /// As `token_wait`, while this VM's share is not confirmed after its start.
     duration joining_wait{from_milliseconds(900)};
+    /// Between two requests for more of an organisation's rate; each move costs a write and a
+    /// reading by every holder, and single tokens travel between VMs meanwhile.
+    duration share_interval{from_milliseconds(4000)};
     /// Joins of VMs that start together are spread over this time.
     duration share_join_spread{from_milliseconds(80)};
     /// Tokens in transit are void after 150 ms; a part changes hands after that.
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -52,6 +52,7 @@
     limits.pending = settings.token_wait;
     limits.joining = settings.joining_wait;
     limits.waits_for_own_share = true;
+    limits.share_interval = settings.share_interval;
     limits.shares.join_spread = settings.share_join_spread;
     limits.shares.settle = settings.share_settle;
     limits.shares.shortest_retry = settings.share_retry;
--- a/tools/check-code.sh
+++ b/tools/check-code.sh
@@ -14,7 +14,7 @@
     exit 1
 fi
 if [ "${1:-}" = --tidy ]; then
-    printf '%s\n' "${files[@]}" | grep '^src/.*\.cpp$' |
+    printf '%s\n' "${files[@]}" | grep -E '^(src|platform)/.*\.cpp$' |
         xargs -P "$(nproc)" -n 2 clang-tidy -p "$build" --quiet 2>/dev/null
     echo 'lint: ok'
 fi
