--- a/include/jackdawvane/sessions/backend_sessions.hpp
+++ b/include/jackdawvane/sessions/backend_sessions.hpp
@@ -35,10 +35,6 @@
     duration busy_pause{std::chrono::milliseconds{25}};
     /// After a failed connection attempt the server is passed over for this long.
     duration failure_pause{std::chrono::milliseconds{250}};
-    /// Weight of the newest answer in the mean answer time, as a divisor.
-    int latency_divisor{8};
-    /// After this without an answer the mean answer time is forgotten.
-    duration latency_memory{std::chrono::seconds{2}};
 };
 
 /// @brief What a statement needs of its connection.
@@ -89,11 +85,6 @@
     /// @brief Attempts that have ended since the last call.
     [[nodiscard]] std::vector<attempt_result> take_results();
 
-    /// @brief Statements in hand at @a backend.
-    [[nodiscard]] std::uint32_t running(const backend_server_id& backend) const;
-    /// @brief Mean time of recent answers of @a backend; nothing when there are none.
-    [[nodiscard]] std::optional<duration> latency(time_point now,
-                                                  const backend_server_id& backend) const;
     /// @brief Whether connections to @a backend fail.
     [[nodiscard]] bool avoided(time_point now, const backend_server_id& backend) const;
     [[nodiscard]] std::size_t size() const noexcept { return sessions_.size(); }
@@ -128,8 +119,6 @@
     struct load {
         std::uint32_t open{0};
         std::uint32_t running{0};
-        duration mean{0};
-        time_point measured{time_point::min()};
         time_point busy_until{time_point::min()};
         time_point failed_until{time_point::min()};
     };
@@ -137,7 +126,7 @@
     void lay_values(time_point now, session& own, const session_needs& needs, bool afresh,
                     std::vector<backend_command>& commands);
     void expect(time_point now, session& own, expected_kind kind, attempt_id attempt);
-    void finish_running(time_point now, session& own, const expected& ended);
+    void finish_running(const session& own, const expected& ended);
     void become_idle(time_point now, connection_id id, proxy_output& out);
     void erase(connection_id id);
     void fail_open_attempts(connection_id id, session& own, const member_closed& closed);
--- a/include/jackdawvane/sessions/caller_session.hpp
+++ b/include/jackdawvane/sessions/caller_session.hpp
@@ -40,7 +40,6 @@
     time_point retry_at{};
     time_point hedge_at{no_deadline};
     std::uint32_t tries{0};
-    statement_error last_problem{statement_error::none};
     term leader; ///< Term of the primary that the statement was sent to.
     time_point answered{};
     std::optional<attempt_result> held; ///< Answer that waits for confirmation.
--- a/include/jackdawvane/sessions/group_leadership.hpp
+++ b/include/jackdawvane/sessions/group_leadership.hpp
@@ -75,9 +75,6 @@
     /// @brief Whether a promotion has ended the present term.
     [[nodiscard]] bool closed() const noexcept;
 
-    /// @brief Whether the last status of @a member says that it is held for a newer term.
-    [[nodiscard]] bool held(const backend_server_id& member) const;
-
   private:
     struct evidence {
         time_point asked{};
--- a/include/jackdawvane/sessions/group_observer.hpp
+++ b/include/jackdawvane/sessions/group_observer.hpp
@@ -55,7 +55,6 @@
 
     /// @brief Whether this VM has to watch all backend servers itself, as duty holder.
     void set_always_active(bool active) noexcept { always_active_ = active; }
-    [[nodiscard]] bool active() const noexcept { return active_; }
 
     /// @brief Sends a control command on the control connection of @a backend.
     /// @return whether a connection is open
--- a/include/jackdawvane/sessions/member_owner.hpp
+++ b/include/jackdawvane/sessions/member_owner.hpp
@@ -37,14 +37,12 @@
     void release(time_point now, const vm_id& entry, const lease_release& release,
                  proxy_output& out);
     /// @brief Releases all leases of a VM that is gone.
-    void forget(time_point now, const vm_id& entry, proxy_output& out);
+    void forget(const vm_id& entry, proxy_output& out);
     /// @brief Takes the results of the connections and starts what waits.
     void settle(time_point now, proxy_output& out);
     void tick(time_point now, proxy_output& out);
 
     [[nodiscard]] std::vector<owner_result> take_results();
-    /// @brief Statements that wait for @a backend.
-    [[nodiscard]] std::size_t waiting(const backend_server_id& backend) const;
 
   private:
     struct lease_key {
--- a/include/jackdawvane/sessions/session_proxy.hpp
+++ b/include/jackdawvane/sessions/session_proxy.hpp
@@ -112,7 +112,7 @@
     void follow_configuration(time_point now, proxy_output& out);
     void follow_fleet(time_point now, proxy_output& out);
     void settle_statements(time_point now, proxy_output& out);
-    void vm_lost(time_point now, const vm_id& vm, proxy_output& out);
+    void vm_lost(const vm_id& vm, proxy_output& out);
     void report_readiness(proxy_output& out);
     void finish_leaving(time_point now, proxy_output& out);
 
--- a/include/jackdawvane/sessions/statement_executor.hpp
+++ b/include/jackdawvane/sessions/statement_executor.hpp
@@ -126,8 +126,7 @@
     void start_ending(time_point now, caller_session& session, statement next, proxy_output& out);
     void start_operation(time_point now, caller_session& session, statement next,
                          proxy_output& out);
-    void start_in_transaction(time_point now, caller_session& session, statement next,
-                              proxy_output& out);
+    void start_in_transaction(time_point now, caller_session& session, statement next);
     void admitted(time_point now, caller_session& session, proxy_output& out);
     [[nodiscard]] std::optional<refusal> select_route(caller_session& session);
     [[nodiscard]] bool writes(const caller_session& session, const statement& next) const;
--- a/include/jackdawvane/sessions/vm_registration.hpp
+++ b/include/jackdawvane/sessions/vm_registration.hpp
@@ -25,7 +25,6 @@
     bool on_store(time_point now, const store_answer& answer);
     /// @brief Removes the entry.
     void leave(actions& out);
-    [[nodiscard]] bool registered() const noexcept { return registered_; }
 
   private:
     [[nodiscard]] std::string key() const;
@@ -35,7 +34,6 @@
     id_sequence<request_id>& ids_;
     request_id call_;
     bool pending_{false};
-    bool registered_{false};
     bool leaving_{false};
     time_point sent_{};
     time_point next_{};
--- a/src/core/sessions/backend_sessions.cpp
+++ b/src/core/sessions/backend_sessions.cpp
@@ -111,18 +111,11 @@
     out.sessions.emplace_back(send_to_member{connection, std::move(commands)});
 }
 
-void backend_sessions::finish_running(time_point now, session& own, const expected& ended) {
-    if (ended.kind != expected_kind::main) {
-        return;
+void backend_sessions::finish_running(const session& own, const expected& ended) {
+    if (ended.kind == expected_kind::main) {
+        auto& own_load = loads_[own.backend];
+        own_load.running -= std::min(own_load.running, 1U);
     }
-    auto& own_load = loads_[own.backend];
-    own_load.running -= std::min(own_load.running, 1U);
-    const auto taken = now - ended.sent;
-    own_load.mean =
-        own_load.measured == time_point::min() || now - own_load.measured > settings_.latency_memory
-            ? taken
-            : own_load.mean + (taken - own_load.mean) / settings_.latency_divisor;
-    own_load.measured = now;
 }
 
 bool backend_sessions::on_ready(time_point now, const member_ready& ready, proxy_output& out) {
@@ -156,7 +149,7 @@
     own.heard = now;
     const auto ended = own.waiting.front();
     own.waiting.pop_front();
-    finish_running(now, own, ended);
+    finish_running(own, ended);
     const bool failed = replied.reply.problem != statement_error::none;
     if (ended.kind == expected_kind::main) {
         auto position = replied.reply.position;
@@ -194,9 +187,7 @@
                                           const member_closed& closed) {
     attempt_id reported;
     for (const auto& each : own.waiting) {
-        if (each.kind == expected_kind::main) {
-            loads_[own.backend].running -= std::min(loads_[own.backend].running, 1U);
-        }
+        finish_running(own, each);
         const bool names_attempt =
             each.kind == expected_kind::main || each.kind == expected_kind::begin;
         if (!names_attempt || each.attempt == reported) {
@@ -292,10 +283,7 @@
         return;
     }
     for (const auto& each : found->second.waiting) {
-        if (each.kind == expected_kind::main) {
-            auto& own_load = loads_[found->second.backend];
-            own_load.running -= std::min(own_load.running, 1U);
-        }
+        finish_running(found->second, each);
     }
     out.sessions.emplace_back(close_member{connection});
     erase(connection);
@@ -340,21 +328,6 @@
     return std::exchange(results_, {});
 }
 
-std::uint32_t backend_sessions::running(const backend_server_id& backend) const {
-    const auto found = loads_.find(backend);
-    return found == loads_.end() ? 0 : found->second.running;
-}
-
-std::optional<duration> backend_sessions::latency(time_point now,
-                                                  const backend_server_id& backend) const {
-    const auto found = loads_.find(backend);
-    if (found == loads_.end() || found->second.measured == time_point::min() ||
-        now - found->second.measured > settings_.latency_memory) {
-        return {};
-    }
-    return found->second.mean;
-}
-
 void backend_sessions::close_idle(const backend_server_id& backend, proxy_output& out) {
     std::vector<connection_id> idle;
     for (const auto& [id, own] : sessions_) {
--- a/src/core/sessions/group_leadership.cpp
+++ b/src/core/sessions/group_leadership.cpp
@@ -155,9 +155,4 @@
     return found == received_.end() ? std::nullopt : std::optional{found->second};
 }
 
-bool group_leadership::held(const backend_server_id& member) const {
-    const auto found = evidence_.find(member);
-    return found != evidence_.end() && found->second.held;
-}
-
 } // namespace jackdawvane
--- a/src/core/sessions/member_owner.cpp
+++ b/src/core/sessions/member_owner.cpp
@@ -125,8 +125,7 @@
     }
 }
 
-void member_owner::forget(time_point now, const vm_id& entry, proxy_output& out) {
-    (void)now;
+void member_owner::forget(const vm_id& entry, proxy_output& out) {
     for (auto it = leases_.begin(); it != leases_.end();) {
         if (it->first.entry == entry) {
             backends_.discard(it->second.connection, out);
@@ -181,9 +180,4 @@
     return std::exchange(results_, {});
 }
 
-std::size_t member_owner::waiting(const backend_server_id& backend) const {
-    const auto found = queues_.find(backend);
-    return found == queues_.end() ? 0 : found->second.size();
-}
-
 } // namespace jackdawvane
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -167,9 +167,9 @@
     }
 }
 
-void session_proxy::vm_lost(time_point now, const vm_id& vm, proxy_output& out) {
+void session_proxy::vm_lost(const vm_id& vm, proxy_output& out) {
     gateway_.on_vm_lost(vm);
-    owner_.forget(now, vm, out);
+    owner_.forget(vm, out);
 }
 
 void session_proxy::follow_configuration(time_point now, proxy_output& out) {
@@ -192,7 +192,7 @@
         const bool stays = std::any_of(state_.live.begin(), state_.live.end(),
                                        [&](const vm_entry& each) { return each.vm == vm.vm; });
         if (!stays && vm.vm != settings_.self.vm) {
-            vm_lost(now, vm.vm, out);
+            vm_lost(vm.vm, out);
         }
     }
     for (const auto& [backend, entry] : state_.directory.entries()) {
@@ -334,7 +334,7 @@
 
 void session_proxy::on(time_point now, const peer_disconnected& what, proxy_output& out) {
     members_.on_disconnected(now, what.vm, out.common);
-    vm_lost(now, what.vm, out);
+    vm_lost(what.vm, out);
 }
 
 void session_proxy::on(time_point now, const stop_requested& /*what*/, proxy_output& out) {
--- a/src/core/sessions/statement_executor.cpp
+++ b/src/core/sessions/statement_executor.cpp
@@ -202,7 +202,7 @@
     if (state == transaction_state::idle) {
         start_operation(now, session, std::move(next), out);
     } else {
-        start_in_transaction(now, session, std::move(next), out);
+        start_in_transaction(now, session, std::move(next));
     }
 }
 
@@ -222,7 +222,7 @@
                                       proxy_output& out) {
     const bool failed = session.transaction.state == transaction_state::failed;
     if (next.kind == statement_kind::commit && !failed) {
-        start_in_transaction(now, session, std::move(next), out);
+        start_in_transaction(now, session, std::move(next));
         return;
     }
     auto reply = own_reply(transaction_state::idle);
@@ -310,7 +310,7 @@
 }
 
 void statement_executor::start_in_transaction(time_point now, caller_session& session,
-                                              statement next, proxy_output& out) {
+                                              statement next) {
     const auto& row = *routes_.at(session.id).row;
     statement_work work;
     work.received = now;
@@ -325,7 +325,6 @@
     session.work = std::move(work);
     working_.insert(session.id);
     enqueue(session);
-    (void)out;
 }
 
 void statement_executor::leave(time_point now) {
--- a/src/core/sessions/statement_results.cpp
+++ b/src/core/sessions/statement_results.cpp
@@ -127,7 +127,6 @@
                                       const attempt_result& result, proxy_output& out) {
     auto& work = *session.work;
     auto& transaction = session.transaction;
-    work.last_problem = result.reply.problem;
     const bool not_run = promises_not_run(result.reply.problem) || !result.sent;
     const bool own_transaction = transaction.state == transaction_state::open;
     if (not_run && !transaction.opened) {
@@ -179,7 +178,6 @@
     if (!work.attempts.empty()) {
         return; // Another attempt is under way.
     }
-    work.last_problem = result.reply.problem;
     if ((work.retryable || !result.sent) && !session.transaction.opened) {
         session.transaction.lease = {};
         retry(now, session, result, out);
--- a/src/core/sessions/vm_registration.cpp
+++ b/src/core/sessions/vm_registration.cpp
@@ -46,8 +46,7 @@
         return false;
     }
     pending_ = false;
-    registered_ = answer.status == store_status::ok;
-    if (!registered_) {
+    if (answer.status != store_status::ok) {
         next_ = now + settings_.retry;
     }
     return true;
