Write the proof's age into refusals, and look VMs up in one place

Two subtractions from an unset time overflowed before their guard; the guards come first now, with the same outcome. The look-up of a live VM stood in the observer and in the gateway; it is fleet_state::find_vm.

--- a/include/jackdawvane/sessions/fleet_state.hpp
+++ b/include/jackdawvane/sessions/fleet_state.hpp
@@ -4,6 +4,7 @@
 #include "jackdawvane/sessions/backend_directory.hpp"
 #include "jackdawvane/sessions/group_leadership.hpp"
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -34,6 +35,13 @@
         return found == regions.end() ? region_id{} : found->second;
     }
 
+    /// @brief Live VM @a vm, or null.
+    [[nodiscard]] const vm_entry* find_vm(const vm_id& vm) const {
+        const auto found = std::find_if(live.begin(), live.end(),
+                                        [&](const vm_entry& entry) { return entry.vm == vm; });
+        return found == live.end() ? nullptr : &*found;
+    }
+
     /// @brief Row of @a group, or null.
     [[nodiscard]] const group_row* find_group(const group_id& group) const {
         if (!configuration) {
--- a/include/jackdawvane/sessions/group_observer.hpp
+++ b/include/jackdawvane/sessions/group_observer.hpp
@@ -60,7 +60,7 @@
     /// @return whether a connection is open
     bool command(time_point now, const backend_server_id& backend, backend_command command,
                  proxy_output& out);
-    /// @brief Asks one VM of each other failure domain what it sees.
+    /// @brief Queries one VM of each other failure domain.
     void ask_other_domains(time_point now, proxy_output& out);
 
     /// @return whether the connection belongs to this part
@@ -116,7 +116,6 @@
     void drop(time_point now, control& own, proxy_output& out);
     void query_observer(time_point now, proxy_output& out);
     void send_query(time_point now, const vm_id& to, proxy_output& out);
-    [[nodiscard]] const vm_entry* find_vm(const vm_id& vm) const;
     [[nodiscard]] bool silent(time_point now, const vm_id& vm) const;
 
     fleet_state& state_;
--- a/include/jackdawvane/sessions/member_gateway.hpp
+++ b/include/jackdawvane/sessions/member_gateway.hpp
@@ -75,7 +75,6 @@
                                                  const backend_server_id& backend) const;
     void give_back(time_point now, const lease_release& release, const vm_id& owner,
                    proxy_output& out);
-    [[nodiscard]] const vm_entry* find_vm(const vm_id& vm) const;
     void end_attempt(time_point now, const attempt_result& result, bool measure);
 
     fleet_state& state_;
--- a/src/core/sessions/group_observer.cpp
+++ b/src/core/sessions/group_observer.cpp
@@ -32,7 +32,7 @@
     } else {
         query_observer(now, out);
     }
-    if (now - state_.directory.read_at() > settings_.directory_stale &&
+    if (state_.directory.known() && now - state_.directory.read_at() > settings_.directory_stale &&
         now >= next_foreign_query_) {
         ask_other_domains(now, out);
     }
@@ -288,7 +288,7 @@
 }
 
 void group_observer::send_query(time_point now, const vm_id& to, proxy_output& out) {
-    const auto* vm = find_vm(to);
+    const auto* vm = state_.find_vm(to);
     if (vm == nullptr) {
         return;
     }
@@ -302,7 +302,7 @@
     next_foreign_query_ = now + settings_.foreign_query_interval;
     std::set<failure_domain_id> asked{state_.self.place.domain};
     for (const auto& vm : rank_vms(observer_task, state_.live)) {
-        const auto* entry = find_vm(vm);
+        const auto* entry = state_.find_vm(vm);
         if (entry != nullptr && entry->vm != state_.self.vm &&
             asked.insert(entry->place.domain).second) {
             send_query(now, vm, out);
@@ -310,15 +310,9 @@
     }
 }
 
-const vm_entry* group_observer::find_vm(const vm_id& vm) const {
-    const auto found = std::find_if(state_.live.begin(), state_.live.end(),
-                                    [&](const vm_entry& entry) { return entry.vm == vm; });
-    return found == state_.live.end() ? nullptr : &*found;
-}
-
 void group_observer::on_query(time_point now, const vm_id& from, const observation_query& query,
                               proxy_output& out) {
-    const auto* vm = find_vm(from);
+    const auto* vm = state_.find_vm(from);
     if (vm == nullptr) {
         return;
     }
--- a/src/core/sessions/member_gateway.cpp
+++ b/src/core/sessions/member_gateway.cpp
@@ -54,12 +54,6 @@
     return id;
 }
 
-const vm_entry* member_gateway::find_vm(const vm_id& vm) const {
-    const auto found = std::find_if(state_.live.begin(), state_.live.end(),
-                                    [&](const vm_entry& entry) { return entry.vm == vm; });
-    return found == state_.live.end() ? nullptr : &*found;
-}
-
 void member_gateway::send(time_point now, member_statement statement, proxy_output& out) {
     attempts_[statement.attempt] = {statement.lease, now};
     ++loads_[statement.backend].running;
@@ -78,7 +72,7 @@
         owner_.submit(now, state_.self.vm, std::move(statement), out);
         return;
     }
-    const auto* vm = find_vm(own.owner);
+    const auto* vm = state_.find_vm(own.owner);
     if (vm == nullptr) {
         attempt_result lost;
         lost.attempt = statement.attempt;
@@ -96,7 +90,7 @@
                                proxy_output& out) {
     if (owner == state_.self.vm) {
         owner_.release(now, owner, release, out);
-    } else if (const auto* vm = find_vm(owner)) {
+    } else if (const auto* vm = state_.find_vm(owner)) {
         out.common.emplace_back(send_to_peer{vm->vm, vm->peer, peer_channel::stream, release});
     }
 }
--- a/src/core/sessions/statement_placement.cpp
+++ b/src/core/sessions/statement_placement.cpp
@@ -80,8 +80,8 @@
 bool statement_executor::place_on_primary(time_point now, caller_session& session,
                                           proxy_output& out) {
     const auto& leadership = state_.leadership(routes_.at(session.id).group);
-    const bool silent = now - leadership.primary_seen() > settings_.primary_silence;
-    if (!leadership.confirmed(now) || silent || !gateway_.open(now, *leadership.primary())) {
+    if (!leadership.confirmed(now) || now - leadership.primary_seen() > settings_.primary_silence ||
+        !gateway_.open(now, *leadership.primary())) {
         return false;
     }
     session.work->leader = leadership.term();
--- a/src/core/sessions/statement_results.cpp
+++ b/src/core/sessions/statement_results.cpp
@@ -275,6 +275,7 @@
     note(session, good ? "done" : "not_done",
          std::string{"problem="} + to_string(reply.problem) + " ms=" + milliseconds(taken) +
              " backend=" + session.last_backend.str() +
+             (good ? std::string{} : evidence(now, session)) +
              (reply.detail.empty() || good ? "" : " detail=\"" + reply.detail + "\""),
          good ? log_level::debug : log_level::info, out);
     count(out.common, "statements_total", "problem", to_string(reply.problem));
--- a/tests/core/statement_executor_test.cpp
+++ b/tests/core/statement_executor_test.cpp
@@ -103,6 +103,19 @@
     EXPECT_EQ(fixture.take<open_member>().size(), 1U);
 }
 
+// Without these ages, the cause of a refusal cannot be told from the logs.
+TEST_F(StatementExecutor, LineOfARefusalTellsTheAgeOfTheProof) {
+    fixture.say(900, write_one());
+    fixture.tick(1850);
+    std::string text;
+    for (const auto& each : fixture.out.common) {
+        if (const auto* line = std::get_if<log_decision>(&each)) {
+            text += line->text;
+        }
+    }
+    EXPECT_NE(text.find("proof_age_ms=1850 primary_age_ms=1850"), std::string::npos) << text;
+}
+
 TEST_F(StatementExecutor, WriteOnALostConnectionIsUnknownAndNotSentAgain) {
     fixture.say(1, write_one());
     fixture.accept(2);
