Leave fields with their default out of messages between VMs

Ruled out: a binary format and compression; JSON-RPC stays between processes, and defaults are most of the waste. Change: to_compact_json removes what a decoder fills in itself, at any depth.

--- a/src/core/node/peer.cpp
+++ b/src/core/node/peer.cpp
@@ -1,5 +1,7 @@
 #include "jackdawvane/node/peer.hpp"
 
+#include "jackdawvane/foundation/compact_json.hpp"
+
 namespace jackdawvane {
 
 namespace {
@@ -38,7 +40,7 @@
 }
 
 Json::Value encode(const peer_message& message) {
-    return std::visit([](const auto& body) { return to_json(body); }, message);
+    return std::visit([](const auto& body) { return to_compact_json(body); }, message);
 }
 
 result<peer_message> decode_peer_message(const std::string& method, const Json::Value& params) {
--- a/tests/core/json_codec_test.cpp
+++ b/tests/core/json_codec_test.cpp
@@ -1,3 +1,4 @@
+#include "jackdawvane/foundation/compact_json.hpp"
 #include "jackdawvane/foundation/json_codec.hpp"
 #include "jackdawvane/node/peer.hpp"
 
@@ -30,6 +31,54 @@
     EXPECT_EQ(to_json(received.value()), sent);
 }
 
+struct compact_part {
+    int number{0};
+    bool flag{true};
+    static constexpr auto fields() {
+        return std::tuple{field("number", &compact_part::number),
+                          field("flag", &compact_part::flag)};
+    }
+};
+
+struct compact_whole {
+    compact_part own{7, true}; ///< Another default than its type's.
+    std::optional<compact_part> maybe;
+    std::vector<compact_part> list;
+    static constexpr auto fields() {
+        return std::tuple{field("own", &compact_whole::own), field("maybe", &compact_whole::maybe),
+                          field("list", &compact_whole::list)};
+    }
+};
+
+struct compact_case {
+    const char* name;
+    compact_whole value;
+    const char* text;
+};
+
+class CompactJson : public testing::TestWithParam<compact_case> {};
+
+/// Guards against a field that is left out though the decoder's default is another one.
+TEST_P(CompactJson, LeavesOutDefaultsAndReadsTheSame) {
+    const auto compact = to_compact_json(GetParam().value);
+    EXPECT_EQ(write_json(compact), GetParam().text);
+    const auto received = from_json<compact_whole>(compact);
+    ASSERT_TRUE(received);
+    EXPECT_EQ(to_json(received.value()), to_json(GetParam().value));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    JsonCodec, CompactJson,
+    testing::Values(
+        compact_case{"defaults", {}, "{}"},
+        compact_case{"nested_type_default", {{0, true}, {}, {}}, R"({"own":{"number":0}})"},
+        compact_case{"optional",
+                     {{}, compact_part{0, false}, {}},
+                     R"({"maybe":{"flag":false},"own":{"number":0}})"},
+        compact_case{
+            "list", {{7, true}, {}, {{0, true}, {2, true}}}, R"({"list":[{},{"number":2}]})"}),
+    [](const auto& tested) { return std::string{tested.param.name}; });
+
 struct malformed_case {
     const char* name;
     const char* json;
