--- a/include/jackdawvane/sessions/member_owner.hpp
+++ b/include/jackdawvane/sessions/member_owner.hpp
@@ -36,6 +36,9 @@
     void submit(time_point now, const vm_id& entry, member_statement statement, proxy_output& out);
     void release(time_point now, const vm_id& entry, const lease_release& release,
                  proxy_output& out);
+    /// @brief This VM was paused. What arrives now may have waited all the time; its entries have
+    /// given it up or tried it elsewhere.
+    void paused(time_point now);
     /// @brief Releases all leases of a VM that is gone.
     void forget(const vm_id& entry, proxy_output& out);
     /// @brief Takes the results of the connections and starts what waits.
@@ -80,6 +83,7 @@
     std::map<lease_key, lease> leases_;
     std::map<attempt_id, running> running_;
     std::vector<owner_result> results_;
+    time_point backlog_until_{}; ///< Statements that arrive before may have waited in a pause.
 };
 
 } // namespace jackdawvane
--- a/src/core/sessions/member_owner.cpp
+++ b/src/core/sessions/member_owner.cpp
@@ -17,6 +17,9 @@
     return needs;
 }
 
+/// What the network received during a pause is read within this time after it.
+constexpr duration backlog_time = std::chrono::milliseconds{200};
+
 } // namespace
 
 member_owner::member_owner(fleet_state& state, backend_sessions& backends, owner_settings settings)
@@ -34,6 +37,13 @@
         start(now, entry, std::move(statement), bound->second.connection, out);
         return;
     }
+    if (now < backlog_until_) {
+        log(out.common, "owner", log_level::info,
+            "not_run request=" + statement.main.id.str() + " entry=" + entry.str() +
+                " backend=" + statement.backend.str() + " reason=backlog_of_a_pause");
+        give_back({entry, std::move(statement)}, statement_error::busy);
+        return;
+    }
     if (statement.continues) {
         // The connection was lost. On another one the statement would run outside its transaction.
         attempt_result lost;
@@ -125,6 +135,10 @@
     }
 }
 
+void member_owner::paused(time_point now) {
+    backlog_until_ = now + backlog_time;
+}
+
 void member_owner::forget(const vm_id& entry, proxy_output& out) {
     for (auto it = leases_.begin(); it != leases_.end();) {
         if (it->first.entry == entry) {
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -96,6 +96,7 @@
     log(out.common, "proxy", log_level::warning, "this VM was paused; leases are checked again");
     limiter_.paused(now, out.common);
     duty_.paused(out.common);
+    owner_.paused(now);
 }
 
 void session_proxy::run_due(time_point now, proxy_output& out) {
--- /dev/null
+++ b/src/standins/jackdawvane-site/member_server.cpp
@@ -0,0 +1,428 @@
+#include "standins/jackdawvane-site/member_server.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include <boost/asio/read_until.hpp>
+
+namespace jackdawvane::standin {
+
+namespace {
+
+constexpr std::size_t longest_line = std::size_t{1024} * 1024; // bytes
+/// A dark far end is noticed after this time.
+constexpr milliseconds dark_time{3000};
+
+std::string take_word(std::string_view& text) {
+    const auto end = std::min(text.find(' '), text.size());
+    std::string word{text.substr(0, end)};
+    text.remove_prefix(std::min(end + 1, text.size()));
+    return word;
+}
+
+std::pair<std::uint64_t, std::uint64_t> parse_position(const std::string& text) {
+    std::pair<std::uint64_t, std::uint64_t> point{0, 0};
+    const auto dot = std::min(text.find('.'), text.size());
+    std::from_chars(text.data(), text.data() + dot, point.first);
+    if (dot < text.size()) {
+        std::from_chars(text.data() + dot + 1, text.data() + text.size(), point.second);
+    }
+    return point;
+}
+
+bool is_caller(const std::string& id) {
+    return id != "-";
+}
+
+double seconds_now() {
+    return std::chrono::duration<double>(steady_clock::now().time_since_epoch()).count();
+}
+
+} // namespace
+
+member_server::member_server(asio::io_context& io, session_group& group, std::size_t index,
+                             const endpoint& listen, const member_limits& limits, recorder record)
+    : io_{io}, group_{group}, index_{index}, listen_{asio::ip::make_address(listen.address),
+                                                     listen.port},
+      limits_{limits}, record_{std::move(record)}, acceptor_{io}, slots_{io, limits.slots} {
+    open();
+}
+
+void member_server::open() {
+    acceptor_ = tcp::acceptor{io_, listen_, true};
+    asio::co_spawn(io_, accept(), asio::detached);
+}
+
+void member_server::shut() {
+    error_code ignored;
+    acceptor_.close(ignored);
+    for (const auto& client : sessions_) {
+        client->socket.close(ignored);
+    }
+}
+
+void member_server::silence() {
+    for (const auto& client : sessions_) {
+        client->silent = true;
+    }
+}
+
+awaitable<void> member_server::accept() {
+    for (;;) {
+        auto client = std::make_shared<session>(io_, ++last_session_);
+        error_code failed;
+        co_await acceptor_.async_accept(client->socket, returning(failed));
+        if (!acceptor_.is_open()) {
+            co_return;
+        }
+        if (!failed) {
+            client->life = member().life;
+            asio::co_spawn(io_, serve(std::move(client)), asio::detached);
+        }
+    }
+}
+
+bool member_server::usable(const session& client) const {
+    return client.life == member().life && member().running() && !client.silent;
+}
+
+awaitable<void> member_server::serve(session_ptr client) {
+    sessions_.insert(client);
+    ++member().connections;
+    std::string buffer;
+    bool started = false;
+    for (bool open = true; open;) {
+        error_code failed;
+        const auto size = co_await asio::async_read_until(
+            client->socket, asio::dynamic_buffer(buffer, longest_line), "\r\n", returning(failed));
+        if (failed) {
+            break;
+        }
+        auto line = buffer.substr(0, size - 2);
+        buffer.erase(0, size);
+        if (!usable(*client)) {
+            co_await sleep_for(dark_time);
+            break;
+        }
+        open = started ? co_await run(client, std::move(line))
+                       : co_await start(client, std::move(line));
+        started = true;
+    }
+    error_code ignored;
+    client->socket.close(ignored);
+    --member().connections;
+    sessions_.erase(client);
+}
+
+awaitable<bool> member_server::work(session_ptr client, milliseconds time) {
+    co_await slots_.acquire();
+    ++member().busy;
+    co_await sleep_for(time);
+    --member().busy;
+    slots_.release();
+    co_return usable(*client);
+}
+
+awaitable<bool> member_server::send(session_ptr client, std::string text) {
+    error_code failed;
+    co_await asio::async_write(client->socket, asio::buffer(text), returning(failed));
+    co_return !failed;
+}
+
+awaitable<bool> member_server::start(session_ptr client, std::string line) {
+    std::string_view rest{line};
+    const auto word = take_word(rest);
+    const auto service = take_word(rest);
+    client->organisation = take_word(rest);
+    const auto expected = take_word(rest);
+    const bool misrouted =
+        service != group_.name() || (!expected.empty() && expected != member().id);
+    if (word != "STARTUP" || misrouted) {
+        co_await send(client, "ERROR MISROUTED " + member().id + "\r\n");
+        co_return false;
+    }
+    if (member().connections > limits_.connections) {
+        co_await send(client, "ERROR TOOMANY no connection left\r\n");
+        co_return false;
+    }
+    if (!co_await work(client, limits_.connect_work)) {
+        co_return false;
+    }
+    co_return co_await send(client, "READY I " + member().position() + "\r\n");
+}
+
+member_server::query member_server::parse(std::string_view line) {
+    query wanted;
+    const auto word = take_word(line);
+    wanted.id = take_word(line);
+    wanted.verb = word == "QUERY" ? take_word(line) : word;
+    if (wanted.verb == "AFTER") {
+        wanted.after = take_word(line);
+        wanted.verb = take_word(line);
+    }
+    wanted.rest = line;
+    return wanted;
+}
+
+awaitable<bool> member_server::run(session_ptr client, std::string line) {
+    const auto wanted = parse(line);
+    if (wanted.verb == "TERMINATE") {
+        co_return false;
+    }
+    constexpr std::array<std::string_view, 6> working{"READ",   "WRITE",  "EXECUTE",
+                                                      "COMMIT", "STATUS", "BEGIN"};
+    const bool works = std::find(working.begin(), working.end(), wanted.verb) != working.end();
+    // A begin and a status take a slot for a moment only.
+    const auto time = wanted.verb == "STATUS" || wanted.verb == "BEGIN" ? milliseconds{1}
+                                                                        : limits_.statement_work;
+    if (works && !co_await work(client, time)) {
+        co_return false;
+    }
+    const auto result = execute(*client, wanted);
+    if (works && is_caller(wanted.id) && member().lose_answers > 0) {
+        --member().lose_answers;
+        co_return false;
+    }
+    std::string text;
+    for (const auto& row : result.rows) {
+        text += "ROW " + row + "\r\n";
+    }
+    text += result.error.empty() ? "COMPLETE " + result.signature
+                                 : "ERROR " + result.error + " " + member().id;
+    text += std::string{"\r\nREADY "} + client->state + " " + member().position() + "\r\n";
+    co_return co_await send(client, std::move(text));
+}
+
+/// Why the statement does not run, or nothing.
+std::string member_server::refusal(const session& client, const query& wanted) const {
+    const auto [wanted_term, number] = parse_position(wanted.after);
+    if (!wanted.after.empty() && !member().has_reached(wanted_term, number)) {
+        return "LAGGING";
+    }
+    const bool in_transaction = client.state == 'T' && !client.reads_only;
+    const bool harmless = wanted.verb == "COMMIT" && client.writes.empty();
+    if (in_transaction && !member().primary && wanted.verb != "ROLLBACK" && !harmless) {
+        return "READONLY";
+    }
+    if (client.state == 'E' && wanted.verb != "ROLLBACK" && wanted.verb != "COMMIT") {
+        return "MALFORMED";
+    }
+    return {};
+}
+
+member_server::answer member_server::execute(session& client, const query& wanted) {
+    constexpr std::array<std::pair<std::string_view, handler>, 14> handlers{
+        {{"BEGIN", &member_server::begin},
+         {"COMMIT", &member_server::commit},
+         {"ROLLBACK", &member_server::roll_back},
+         {"READ", &member_server::read},
+         {"WRITE", &member_server::write},
+         {"EXECUTE", &member_server::run_prepared},
+         {"SET", &member_server::set},
+         {"PREPARE", &member_server::prepare},
+         {"DEALLOCATE", &member_server::deallocate},
+         {"RESET", &member_server::reset},
+         {"STATUS", &member_server::status},
+         {"PAUSE", &member_server::control},
+         {"RESUME", &member_server::control},
+         {"STEPDOWN", &member_server::control}}};
+    const auto* const found = std::find_if(handlers.begin(), handlers.end(), [&](const auto& each) {
+        return each.first == wanted.verb;
+    });
+    answer result;
+    const auto before = client.state;
+    const auto transaction = client.transaction;
+    std::string shape;
+    if (found == handlers.end()) {
+        result.error = "MALFORMED";
+    } else if (auto refused = refusal(client, wanted); !refused.empty()) {
+        result.error = std::move(refused);
+    } else {
+        if (wanted.verb == "EXECUTE") {
+            std::string_view rest{wanted.rest};
+            const auto named = client.statements.find(take_word(rest));
+            shape = named == client.statements.end() ? "" : named->second.shape;
+        }
+        result = (this->*found->second)(client, wanted);
+    }
+    if (!result.error.empty() && client.state == 'T') {
+        client.state = 'E';
+    }
+    if (is_caller(wanted.id)) {
+        note(client, wanted, result, before, transaction, shape);
+    }
+    return result;
+}
+
+member_server::answer member_server::begin(session& client, const query& wanted) {
+    client.reads_only = wanted.rest == "READ";
+    if (!client.reads_only && !member().primary) {
+        return {{}, "-", "READONLY"};
+    }
+    client.state = 'T';
+    client.transaction = ++last_transaction_;
+    client.writes.clear();
+    return {};
+}
+
+member_server::answer member_server::commit(session& client, const query& /*wanted*/) {
+    const bool failed = client.state == 'E';
+    const bool writes = client.state == 'T' && !client.writes.empty();
+    answer result;
+    if (failed) {
+        result.error = "ABORTED";
+    } else {
+        if (writes) {
+            group_.commit(member(), std::move(client.writes), steady_clock::now());
+        }
+        result.signature = sign();
+    }
+    client.writes.clear();
+    client.state = 'I';
+    client.transaction = 0;
+    return result;
+}
+
+member_server::answer member_server::roll_back(session& client, const query& /*wanted*/) {
+    client.writes.clear();
+    client.state = 'I';
+    client.transaction = 0;
+    return {};
+}
+
+std::string member_server::sign() {
+    return member().id + "." + std::to_string(member().life) + "." +
+           std::to_string(++last_signature_);
+}
+
+member_server::answer member_server::read(session& client, const query& wanted) {
+    return read_item(client, wanted.rest);
+}
+
+member_server::answer member_server::read_item(const session& client, const std::string& item) {
+    answer result;
+    const auto stored = member().data.find(item);
+    std::string value = stored == member().data.end() ? "none" : stored->second;
+    for (const auto& write : client.writes) {
+        value = write.item == item ? write.data : value;
+    }
+    result.rows = {std::move(value)};
+    result.signature = sign();
+    return result;
+}
+
+member_server::answer member_server::write(session& client, const query& wanted) {
+    return write_item(client, wanted, wanted.rest);
+}
+
+member_server::answer member_server::write_item(session& client, const query& wanted,
+                                                const std::string& item_and_data) {
+    std::string_view rest{item_and_data};
+    const auto item = take_word(rest);
+    if (!member().primary) {
+        return {{}, "-", "READONLY"};
+    }
+    row_write change{wanted.id, item, std::string{rest}};
+    if (client.state == 'T') {
+        client.writes.push_back(std::move(change));
+    } else {
+        group_.commit(member(), {std::move(change)}, steady_clock::now());
+    }
+    answer result;
+    result.signature = sign();
+    return result;
+}
+
+member_server::answer member_server::run_prepared(session& client, const query& wanted) {
+    std::string_view rest{wanted.rest};
+    const auto found = client.statements.find(take_word(rest));
+    if (found == client.statements.end()) {
+        return {{}, "-", "NOSTMT"};
+    }
+    const std::string arguments{rest};
+    return found->second.writes ? write_item(client, wanted, arguments)
+                                : read_item(client, arguments);
+}
+
+member_server::answer member_server::set(session& client, const query& wanted) {
+    std::string_view rest{wanted.rest};
+    const auto name = take_word(rest);
+    client.values[name] = rest;
+    return {};
+}
+
+member_server::answer member_server::prepare(session& client, const query& wanted) {
+    std::string_view rest{wanted.rest};
+    const auto name = take_word(rest);
+    const bool writes = take_word(rest) == "WRITE";
+    client.statements[name] = {writes, std::string{rest}};
+    return {};
+}
+
+member_server::answer member_server::deallocate(session& client, const query& wanted) {
+    client.statements.erase(wanted.rest);
+    return {};
+}
+
+member_server::answer member_server::reset(session& client, const query& /*wanted*/) {
+    client.values.clear();
+    client.statements.clear();
+    return {};
+}
+
+member_server::answer member_server::status(session& /*client*/, const query& /*wanted*/) {
+    const auto& self = member();
+    answer result;
+    result.rows = {std::string{self.primary ? "primary" : "replica"} + " " +
+                   std::to_string(self.term) + " " + self.position() + " " +
+                   std::to_string(self.held_term) + " " + std::to_string(self.lag.count()) + " " +
+                   std::to_string(self.busy) + " " + std::to_string(self.connections)};
+    return result;
+}
+
+member_server::answer member_server::control(session& client, const query& wanted) {
+    std::uint64_t term{0};
+    std::from_chars(wanted.rest.data(), wanted.rest.data() + wanted.rest.size(), term);
+    if (wanted.verb == "PAUSE") {
+        group_.hold(member(), term);
+    } else if (wanted.verb == "RESUME") {
+        member().held_term = 0;
+    } else {
+        group_.step_down(member(), term);
+    }
+    return status(client, wanted);
+}
+
+void member_server::note(const session& client, const query& wanted, const answer& result,
+                         char state_before, std::uint64_t transaction_before,
+                         const std::string& shape) {
+    Json::Value run;
+    run["at"] = seconds_now();
+    run["group"] = group_.name();
+    run["member"] = member().id;
+    run["connection"] = Json::UInt64{client.number};
+    run["organisation"] = client.organisation;
+    run["id"] = wanted.id;
+    run["text"] = wanted.verb + (wanted.rest.empty() ? "" : " " + wanted.rest);
+    run["state"] = std::string{state_before};
+    // The begin itself opens the transaction that it belongs to.
+    run["transaction"] =
+        Json::UInt64{transaction_before == 0 ? client.transaction : transaction_before};
+    run["primary"] = member().primary;
+    run["position"] = member().position();
+    run["error"] = result.error;
+    run["signature"] = result.signature;
+    run["shape"] = shape;
+    run["rows"] = Json::arrayValue;
+    for (const auto& row : result.rows) {
+        run["rows"].append(row);
+    }
+    run["values"] = Json::objectValue;
+    for (const auto& [name, value] : client.values) {
+        run["values"][name] = value;
+    }
+    record_(std::move(run));
+}
+
+} // namespace jackdawvane::standin
--- /dev/null
+++ b/src/standins/jackdawvane-site/member_server.hpp
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "jackdawvane/foundation/types.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "standins/common/notifier.hpp"
+#include "standins/jackdawvane-site/session_group.hpp"
+#include <boost/core/noncopyable.hpp>
+
+namespace jackdawvane::standin {
+
+/// @brief What a backend server can bear.
+struct member_limits {
+    std::uint32_t slots{3};
+    std::uint32_t connections{22};
+    milliseconds connect_work{12};
+    milliseconds statement_work{8};
+};
+
+/// @brief One backend server's SQL sessions over TCP.
+class member_server : private boost::noncopyable {
+  public:
+    /// @brief Called with each statement of a caller that ran, for the judge of a test.
+    using recorder = std::function<void(Json::Value)>;
+
+    /// @param group outlives this object
+    /// @throws boost::system::system_error when the address is in use
+    member_server(asio::io_context& io, session_group& group, std::size_t index,
+                  const endpoint& listen, const member_limits& limits, recorder record);
+
+    /// @brief Closes all connections and refuses new ones; the member has crashed.
+    void shut();
+    /// @brief Accepts connections again.
+    void open();
+    /// @brief Open connections deliver nothing any more; new ones do.
+    void silence();
+
+  private:
+    struct prepared {
+        bool writes{false};
+        std::string shape;
+    };
+    struct session {
+        session(asio::io_context& io, std::uint64_t its_number) : socket{io}, number{its_number} {}
+
+        tcp::socket socket;
+        std::uint64_t number;
+        std::uint64_t life{0}; ///< Of the member at the start.
+        bool silent{false};
+        std::string organisation;
+        std::map<std::string, std::string> values;
+        std::map<std::string, prepared> statements;
+        char state{'I'};
+        bool reads_only{false};
+        std::uint64_t transaction{0}; ///< Number of the open one.
+        std::vector<row_write> writes;
+    };
+    using session_ptr = std::shared_ptr<session>;
+    /// @brief Answer without its READY line; `error` is empty after success.
+    struct answer {
+        std::vector<std::string> rows;
+        std::string signature{"-"};
+        std::string error;
+    };
+    /// @brief Statement as the line has it.
+    struct query {
+        std::string id;
+        std::string after;
+        std::string verb;
+        std::string rest;
+    };
+    using handler = answer (member_server::*)(session&, const query&);
+
+    [[nodiscard]] group_member& member() const { return group_.members()[index_]; }
+    awaitable<void> accept();
+    awaitable<void> serve(session_ptr client);
+    awaitable<bool> start(session_ptr client, std::string line);
+    awaitable<bool> run(session_ptr client, std::string line);
+    awaitable<bool> work(session_ptr client, milliseconds time);
+    awaitable<bool> send(session_ptr client, std::string text);
+    [[nodiscard]] bool usable(const session& client) const;
+
+    [[nodiscard]] static query parse(std::string_view line);
+    [[nodiscard]] answer execute(session& client, const query& wanted);
+    [[nodiscard]] std::string refusal(const session& client, const query& wanted) const;
+    [[nodiscard]] answer begin(session& client, const query& wanted);
+    [[nodiscard]] answer commit(session& client, const query& wanted);
+    [[nodiscard]] answer roll_back(session& client, const query& wanted);
+    [[nodiscard]] answer read(session& client, const query& wanted);
+    [[nodiscard]] answer write(session& client, const query& wanted);
+    [[nodiscard]] answer run_prepared(session& client, const query& wanted);
+    [[nodiscard]] answer set(session& client, const query& wanted);
+    [[nodiscard]] answer prepare(session& client, const query& wanted);
+    [[nodiscard]] answer deallocate(session& client, const query& wanted);
+    [[nodiscard]] answer reset(session& client, const query& wanted);
+    [[nodiscard]] answer status(session& client, const query& wanted);
+    [[nodiscard]] answer control(session& client, const query& wanted);
+    [[nodiscard]] answer read_item(const session& client, const std::string& item);
+    [[nodiscard]] answer write_item(session& client, const query& wanted,
+                                    const std::string& item_and_data);
+    [[nodiscard]] std::string sign();
+    void note(const session& client, const query& wanted, const answer& result, char state_before,
+              std::uint64_t transaction_before, const std::string& shape);
+
+    asio::io_context& io_;
+    session_group& group_;
+    std::size_t index_;
+    tcp::endpoint listen_;
+    member_limits limits_;
+    recorder record_;
+    tcp::acceptor acceptor_;
+    semaphore slots_;
+    std::set<session_ptr> sessions_;
+    std::uint64_t last_session_{0};
+    std::uint64_t last_transaction_{0};
+    std::uint64_t last_signature_{0};
+};
+
+} // namespace jackdawvane::standin
--- /dev/null
+++ b/src/standins/jackdawvane-site/session_group.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "standins/common/asio.hpp"
+#include <json/json.h>
+
+namespace jackdawvane::standin {
+
+/// @brief Write of one statement.
+struct row_write {
+    std::string statement; ///< Id of the statement.
+    std::string item;
+    std::string data;
+};
+
+/// @brief Commit in the log of a group.
+struct commit_entry {
+    std::uint64_t term{0};
+    std::uint64_t number{0};
+    std::vector<row_write> writes;
+    steady_clock::time_point at;
+};
+
+/// @brief One backend server of a group.
+struct group_member {
+    enum class condition { running, crashed, dark };
+
+    std::string id;
+    std::string domain;
+    std::string address; ///< Address and port.
+    condition state{condition::running};
+    bool primary{false};
+    bool leaving{false};
+    bool isolated{false}; ///< No traffic with the other members.
+    std::uint64_t term{1};
+    std::uint64_t held_term{0}; ///< Receives nothing while above 0.
+    std::vector<commit_entry> log;
+    std::map<std::string, std::string> data;
+    milliseconds lag{0};
+    std::int64_t born_ms{0};
+    std::uint64_t life{1}; ///< Grows with each start.
+    std::optional<steady_clock::time_point> saw_successor;
+    std::uint32_t lose_answers{0}; ///< Next answers that are lost after the statement has run.
+    std::uint32_t busy{0};
+    std::uint32_t connections{0};
+
+    [[nodiscard]] bool running() const { return state == condition::running; }
+    [[nodiscard]] std::string position() const;
+    [[nodiscard]] bool has_reached(std::uint64_t wanted_term, std::uint64_t number) const;
+};
+
+/// @brief Roles, logs and data of one group's members. No I/O.
+class session_group {
+  public:
+    using time = steady_clock::time_point;
+
+    session_group(std::string name, std::vector<group_member> members);
+
+    [[nodiscard]] const std::string& name() const { return name_; }
+    [[nodiscard]] std::vector<group_member>& members() { return members_; }
+    [[nodiscard]] group_member* find(const std::string& id);
+    /// @brief Running primary of the newest term, or null.
+    [[nodiscard]] const group_member* leader() const;
+
+    /// @brief Appends a commit at @a primary.
+    const commit_entry& commit(group_member& primary, std::vector<row_write> writes, time now);
+    /// @brief Begins a newer term with the member @a id as the primary.
+    /// @return false when it does not run
+    bool promote(const std::string& id);
+    void hold(group_member& member, std::uint64_t term) const;
+    void step_down(group_member& member, std::uint64_t term) const;
+    void crash(group_member& member) const;
+    void restart(group_member& member, std::int64_t born_ms) const;
+
+    /// @brief Passes commits on to replicas and retires a primary that sees its successor.
+    void replicate(time now);
+
+    /// @brief Statements whose writes a promotion has rolled back.
+    [[nodiscard]] const std::set<std::string>& rolled_back() const { return rolled_back_; }
+    /// @brief Log of the newest primary, and what was rolled back.
+    [[nodiscard]] Json::Value describe() const;
+
+  private:
+    void follow(group_member& replica, const group_member& primary, time now);
+
+    std::string name_;
+    std::vector<group_member> members_;
+    std::set<std::string> rolled_back_;
+};
+
+} // namespace jackdawvane::standin
--- a/tests/core/statement_executor_test.cpp
+++ b/tests/core/statement_executor_test.cpp
@@ -341,6 +341,25 @@
     EXPECT_FALSE(results.front().result.sent);
 }
 
+// Guards against a statement that runs when its VM wakes, seconds after its entry has tried it
+// elsewhere: the first statement of a transaction then ran on two connections (soak seed 1).
+TEST(MemberOwner, GivesBackAsNotRunWhatArrivedDuringAPause) {
+    session_fixture fixture;
+    member_statement statement;
+    statement.backend = backend_server_id{"r1"};
+    statement.organisation = organisation_id{"o"};
+    statement.remaining = std::chrono::seconds{1};
+    fixture.owner.paused(at(5000));
+    fixture.owner.submit(at(5001), vm_id{"b"}, statement, fixture.out);
+    EXPECT_TRUE(fixture.take<open_member>().empty());
+    const auto results = fixture.owner.take_results();
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results.front().result.reply.problem, statement_error::busy);
+    EXPECT_FALSE(results.front().result.sent);
+    fixture.owner.submit(at(5300), vm_id{"b"}, statement, fixture.out);
+    EXPECT_FALSE(fixture.take<open_member>().empty());
+}
+
 // Load: one organisation sends many statements at once; the other's first one is not behind them.
 TEST(MemberOwner, ServesOrganisationsInTurn) {
     session_fixture fixture;
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,486 @@
+#!/usr/bin/env python3
+"""Randomized fault soak of jackdawvane-entry: real processes, faults from outside, a judge.
+
+Each seed starts the stand-in for the users' platform, the network relay and six VMs, lets callers
+use SQL sessions, and injects faults in series and overlapping: VMs are killed, stopped, paused and
+restarted; connections are delayed, cut one from another, reset and silenced; backend servers crash,
+go dark, lag and lose answers; the store is down, slow, loses answers and turns VMs away; the
+configuration changes. Afterwards the judge compares what callers got with what backend servers ran.
+
+usage: tools/soak.py [--jobs N] [--keep] SEED...      (a seed is a number or FIRST-LAST)
+       tools/soak.py --regression                     (the seeds of tools/soak-seeds.txt)
+"""
+import argparse
+import asyncio
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+from soak_callers import Caller
+from soak_judge import judge
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+LOAD_S = 18          # faults come and go in this time
+RECOVERY_S = 5       # from the end of all faults until service is judged; `config_apply_ms` and more
+TAIL_S = 3           # service is judged in this time
+CALLERS = 24
+REGIONS = {'east-1': 'east', 'east-2': 'east', 'west-1': 'west'}
+VMS = 6
+GROUPS = ('ledger', 'parts')
+STORE_PORT, PROMOTION_PORT, CONTROL_PORT = 7300, 7301, 7302
+SESSION_PORT, READY_PORT, PEER_PORT, METRICS_PORT, MEMBER_PORT = 7000, 7001, 7100, 7101, 7200
+
+
+def organisations():
+    """Limits; the callers of `org-hot` ask for more than theirs."""
+    return {'org-a': dict(rate_per_s=60, burst=60), 'org-b': dict(rate_per_s=30, burst=30),
+            'org-hot': dict(rate_per_s=8, burst=8)}
+
+
+class Soak:
+    """Processes, faults and callers of one seed."""
+
+    def __init__(self, seed, net, folder):
+        self.random = random.Random(seed)
+        self.net, self.folder = net, pathlib.Path(folder)
+        self.processes, self.events, self.version = {}, [], 0
+        self.keys = {name: [f'key-of-{name}', f'spare-key-of-{name}'] for name in organisations()}
+        self.revoked, self.added = [], []
+        self.started = time.monotonic()
+        self.describe()
+
+    # -- settings
+
+    def place(self, number):
+        return f'{self.net}.{number}'
+
+    def describe(self):
+        domains = list(REGIONS)
+        self.vms = [dict(name=f'vm-{number}', place=f'vm-{number}', domain=domains[number % 3],
+                         net=self.place(20 + number)) for number in range(VMS)]
+        self.members = [dict(name=f'{group}-{number}', place=f'{group}-{number}', group=group,
+                             domain=domains[number], net=self.place(50 + 10 * index + number))
+                        for index, group in enumerate(GROUPS) for number in range(3)]
+        self.site = self.place(9) + '.1'
+        self.callers_address = self.place(100) + '.1'
+
+    def write(self, name, settings):
+        path = self.folder / f'{name}.json'
+        path.write_text(json.dumps(settings, indent=1))
+        return str(path)
+
+    def relays(self):
+        """Endpoints that others reach through the relay, each with its relayed address."""
+        wanted = [(self.site, STORE_PORT), (self.site, PROMOTION_PORT)]
+        for vm in self.vms:
+            wanted += [(vm['net'] + '.1', SESSION_PORT), (vm['net'] + '.1', PEER_PORT)]
+        wanted += [(member['net'] + '.1', MEMBER_PORT) for member in self.members]
+        return [dict(listen=f'{address[:-1]}101:{port}', to=f'{address}:{port}',
+                     udp=port == PEER_PORT) for address, port in wanted]
+
+    def start_all(self):
+        places = {'store': dict(prefix=self.place(9) + '.', region='east'),
+                  'callers': dict(prefix=self.place(100) + '.', clients=True)}
+        for each in self.vms + self.members:
+            places[each['place']] = dict(prefix=each['net'] + '.', region=REGIONS[each['domain']])
+        link = dict(control=f'{self.site}:7900', places=places, relays=self.relays(),
+                    delays=dict(clients_us=500, domains_us=300, regions_us=4000))
+        site = dict(control=f'{self.site}:{CONTROL_PORT}', store=f'{self.site}:{STORE_PORT}',
+                    promotion=f'{self.site}:{PROMOTION_PORT}',
+                    members=[dict(id=member['name'], group=member['group'],
+                                  domain=member['domain'], listen=f'{member["net"]}.1:{MEMBER_PORT}',
+                                  advertised=f'{member["net"]}.101:{MEMBER_PORT}')
+                             for member in self.members])
+        self.start('site', 'jackdawvane-site', self.write('site', site))
+        self.start('link', 'jackdawvane-link', self.write('link', link))
+        for vm in self.vms:
+            self.write(vm['name'], self.vm_settings(vm))
+
+    def vm_settings(self, vm):
+        address = vm['net'] + '.1'
+        return dict(vm=vm['name'], address=address, region=REGIONS[vm['domain']],
+                    failure_domain=vm['domain'], regions=REGIONS,
+                    session_listen=f'{address}:{SESSION_PORT}', ready_listen=f'{address}:{READY_PORT}',
+                    peer_port=PEER_PORT, metrics_port=METRICS_PORT,
+                    advertised_peer=f'{vm["net"]}.101:{PEER_PORT}',
+                    peer_secret='loopback-soak-secret', store=f'{self.site[:-1]}101:{STORE_PORT}',
+                    promotion=f'{self.site[:-1]}101:{PROMOTION_PORT}', descriptors=1024, grace_s=6,
+                    log=dict(level='info', output='stdout', lines_per_second=200))
+
+    # -- processes
+
+    def start(self, name, program, settings):
+        with open(self.folder / f'{name}.log', 'ab') as output:
+            self.processes[name] = subprocess.Popen(
+                [str(ROOT / 'build' / program), '--settings', settings], stdin=subprocess.DEVNULL,
+                stdout=output, stderr=output, start_new_session=True)
+
+    def start_vm(self, name):
+        self.start(name, 'jackdawvane-entry', str(self.folder / f'{name}.json'))
+
+    def signal(self, name, number):
+        if self.processes[name].poll() is None:
+            self.processes[name].send_signal(number)
+
+    def stop_all(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    # -- control calls
+
+    async def post(self, address, target, body=None):
+        """POST of JSON to a stand-in; its answer as JSON, or nothing when it refuses."""
+        host, port = address.rsplit(':', 1)
+        reader, writer = await asyncio.open_connection(host, int(port), limit=2 ** 27)
+        data = json.dumps({} if body is None else body).encode()
+        writer.write(f'POST {target} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n'
+                     f'Content-Length: {len(data)}\r\n\r\n'.encode() + data)
+        head = await reader.readuntil(b'\r\n\r\n')
+        length = [line for line in head.decode().lower().split('\r\n') if 'content-length' in line]
+        answer = await reader.readexactly(int(length[0].split(':')[1])) if length else b'null'
+        writer.close()
+        return json.loads(answer or b'null') if b' 200 ' in head.split(b'\r\n')[0] else None
+
+    async def control(self, target, body=None):
+        return await self.post(f'{self.site}:{CONTROL_PORT}', target, body)
+
+    async def link(self, body):
+        await self.post(f'{self.site}:7900', '/fault', body)
+
+    async def store(self, **fault):
+        await self.control('/fault', dict(store=fault))
+
+    async def member(self, name, **fault):
+        await self.control('/fault', dict(member=dict(member=name, **fault)))
+
+    async def configure(self):
+        """Publishes the present tables as a new version; tries until the store takes them."""
+        self.version += self.random.randint(1, 5)
+        routes = [dict(name='r1', host='orders', type='primary', service='ledger'),
+                  dict(name='r2', host='catalogue', type='bounded_staleness', service='ledger',
+                       max_staleness_ms=1500),
+                  dict(name='r3', host='stock', type='read_your_writes', service='parts',
+                       max_staleness_ms=2500)]
+        routes += [dict(name=f'r-{host}', host=host, type='primary', service='parts')
+                   for host in self.added]
+        for route in routes:
+            route.update(prefix='/', timeout_ms=2000, target_latency_ms=500, priority=1,
+                         max_attempts=2, public=False)
+        tenants = [dict(name=name, priority=1, **limits,
+                        api_keys=[key for key in self.keys[name] if key not in self.revoked])
+                   for name, limits in organisations().items()]
+        document = dict(version=self.version, routes=routes, tenants=tenants,
+                        services=[dict(name=group, health_check_path='/health', max_connections=22,
+                                       protocol='h1', tls=False, sync_replica_count=0)
+                                  for group in GROUPS],
+                        limits=dict(idle_timeout_ms=15000, tx_idle_ms=3000))
+        while await self.control('/config', document) is None:
+            await asyncio.sleep(0.1)
+
+    # -- faults; each returns when it has ended
+
+    def note(self, text):
+        self.events.append((time.monotonic(), text))
+
+    async def kill_vm(self, count=1):
+        for vm in self.random.sample(self.vms, count):
+            self.signal(vm['name'], signal.SIGKILL)
+            self.note(f'killed {vm["name"]}')
+        await asyncio.sleep(self.random.uniform(0.2, 1.5))
+        self.restart_ended()
+
+    async def kill_herd(self):
+        await self.kill_vm(self.random.choice([VMS // 2, VMS]))
+
+    async def stop_vm(self):
+        name = self.random.choice(self.vms)['name']
+        self.signal(name, signal.SIGTERM)
+        self.note(f'stopped {name}')
+        deadline = time.monotonic() + 6
+        while self.processes[name].poll() is None and time.monotonic() < deadline:
+            await asyncio.sleep(0.05)
+        if self.processes[name].poll() is None:
+            self.note(f'{name} did not end in its grace time')
+            self.signal(name, signal.SIGKILL)
+        await asyncio.sleep(0.2)
+        self.restart_ended()
+
+    def restart_ended(self):
+        for vm in self.vms:
+            if self.processes[vm['name']].poll() is not None:
+                self.start_vm(vm['name'])
+
+    async def freeze_vm(self):
+        name = self.random.choice(self.vms)['name']
+        self.signal(name, signal.SIGSTOP)
+        self.note(f'paused {name}')
+        await asyncio.sleep(self.random.uniform(0.3, 5))
+        self.signal(name, signal.SIGCONT)
+        self.note(f'resumed {name}')
+
+    async def crash_member(self):
+        name = self.random.choice(self.members)['name']
+        await self.member(name, state=self.random.choice(['crashed', 'dark']))
+        self.note(f'backend server {name} lost')
+        await asyncio.sleep(self.random.uniform(1, 6))
+        await self.member(name, state='running')
+        self.note(f'backend server {name} back')
+
+    async def isolate_member(self):
+        name = self.random.choice(self.members)['name']
+        await self.member(name, isolated=True)
+        self.note(f'{name} isolated from its group')
+        await asyncio.sleep(self.random.uniform(1, 5))
+        await self.member(name, isolated=False)
+
+    async def lag_group(self):
+        group = self.random.choice(GROUPS)
+        for member in self.members:
+            if member['group'] == group:
+                await self.member(member['name'], lag_ms=self.random.choice([300, 1000, 2500]))
+        self.note(f'{group} lags')
+        await asyncio.sleep(self.random.uniform(1, 4))
+        for member in self.members:
+            await self.member(member['name'], lag_ms=8)
+
+    async def lose_member_answers(self):
+        await self.member(self.random.choice(self.members)['name'], lose_answers=3)
+
+    async def leave_member(self):
+        name = self.random.choice(self.members)['name']
+        await self.member(name, leaving=True)
+        self.note(f'{name} leaves')
+        await asyncio.sleep(3)
+        await self.member(name, state='crashed', leaving=False)
+        await asyncio.sleep(0.5)
+        await self.member(name, state='running')
+
+    async def store_down(self):
+        milliseconds = self.random.randint(500, 6000)
+        await self.store(down_ms=milliseconds, silent=self.random.random() < 0.5)
+        self.note(f'store down for {milliseconds} ms')
+        await asyncio.sleep(milliseconds / 1000)
+
+    async def store_odd(self):
+        refused = [vm['net'] + '.1' for vm in self.random.sample(self.vms, 2)]
+        fault = self.random.choice([dict(lose_answers=4), dict(delay_ms=400),
+                                    dict(forget_history=True), dict(refused=refused)])
+        await self.store(**fault)
+        self.note(f'store: {fault}')
+        await asyncio.sleep(self.random.uniform(1, 4))
+        await self.store(delay_ms=0, refused=[])
+
+    async def cut(self):
+        vm = self.random.choice(self.vms)['place']
+        other = self.random.choice(['store', '*', self.random.choice(self.members)['place'],
+                                    self.random.choice(self.vms)['place']])
+        pair = [vm, other]
+        await self.link(dict(cut=[pair]))
+        self.note(f'cut {pair}')
+        await asyncio.sleep(self.random.uniform(0.5, 5))
+        await self.link(dict(heal=[pair]))
+        self.note(f'healed {pair}')
+
+    async def silence(self):
+        first = self.random.choice(self.vms)['place']
+        second = self.random.choice(['store', self.random.choice(self.members)['place'],
+                                     self.random.choice(self.vms)['place']])
+        await self.link(dict(silence=[[first, second]]))
+        self.note(f'silenced {first} {second}')
+
+    async def change_configuration(self):
+        for _ in range(self.random.choice([1, 1, 5])):
+            if self.random.random() < 0.5:
+                self.added.append(f'added-{len(self.added)}')
+            else:
+                name = self.random.choice(list(self.keys))
+                spare = f'{name}-key-{len(self.keys[name])}'
+                self.keys[name].append(spare)
+                self.revoked.append(spare)
+            await self.configure()
+            self.note(f'configuration {self.version}')
+            await asyncio.sleep(self.random.uniform(0.05, 0.4))
+
+    async def reload(self):
+        name = self.random.choice(self.vms)['name']
+        path = self.folder / f'{name}.json'
+        path.write_text(path.read_text() + '\n')
+        self.signal(name, signal.SIGHUP)
+        self.note(f'reloaded {name}')
+
+    async def inject(self):
+        """Five to nine faults, each at its own time; some follow one another at once."""
+        kinds = [self.kill_vm, self.kill_herd, self.stop_vm, self.freeze_vm, self.crash_member,
+                 self.crash_member, self.isolate_member, self.lag_group, self.lose_member_answers,
+                 self.leave_member, self.store_down, self.store_odd, self.cut, self.cut,
+                 self.silence, self.change_configuration, self.reload]
+        plan = [(self.random.uniform(2, LOAD_S - 3), self.random.choice(kinds))
+                for _ in range(self.random.randint(5, 9))]
+        if self.random.random() < 0.4:  # the same fault again, soon after
+            plan.append((min(plan[0][0] + 1, LOAD_S - 3), plan[0][1]))
+
+        async def one(at, fault):
+            await asyncio.sleep(at)
+            await fault()
+        await asyncio.gather(*(one(at, fault) for at, fault in plan))
+
+    async def heal(self):
+        await self.link(dict(heal_all=True))
+        await self.store(down_ms=0, delay_ms=0, lose_answers=0, refused=[])
+        for member in self.members:
+            await self.member(member['name'], state='running', leaving=False, isolated=False,
+                              lag_ms=8, lose_answers=0)
+        for vm in self.vms:
+            self.signal(vm['name'], signal.SIGCONT)
+        self.restart_ended()
+        self.note('all faults ended')
+
+    # -- the run
+
+    async def listening(self, address):
+        for _ in range(100):
+            try:
+                return await self.post(address, '/inspect')
+            except OSError:
+                await asyncio.sleep(0.1)
+        raise RuntimeError(f'nothing listens on {address}')
+
+    async def ready(self):
+        for _ in range(100):
+            try:
+                for vm in self.vms:
+                    reader, writer = await asyncio.open_connection(vm['net'] + '.1', READY_PORT)
+                    writer.write(b'GET /ready HTTP/1.1\r\nHost: vm\r\n\r\n')
+                    status = await asyncio.wait_for(reader.readline(), 1)
+                    writer.close()
+                    if b' 200 ' not in status:
+                        raise OSError('not ready')
+                return
+            except (OSError, asyncio.TimeoutError):
+                await asyncio.sleep(0.1)
+        raise RuntimeError('the VMs do not become ready')
+
+    async def run(self):
+        self.start_all()
+        await self.listening(f'{self.site}:{CONTROL_PORT}')
+        await self.listening(f'{self.site}:7900')
+        for vm in self.vms:
+            self.start_vm(vm['name'])
+        await self.configure()
+        await self.ready()
+        vms = [(vm['net'] + '.101', SESSION_PORT) for vm in self.vms]
+        callers = []
+        for number in range(CALLERS):
+            organisation = 'org-hot' if number % 6 == 0 else ('org-a', 'org-b')[number % 2]
+            callers.append(Caller(number, vms, self.callers_address, organisation,
+                                  self.keys[organisation][0], self.random.random()))
+        tasks = [asyncio.create_task(caller.run()) for caller in callers]
+        await self.inject()
+        await self.heal()
+        await asyncio.sleep(RECOVERY_S)
+        tail_from = time.monotonic()
+        await asyncio.sleep(TAIL_S)
+        for caller in callers:
+            caller.stop()
+        await asyncio.gather(*tasks)
+        problems = await self.final_configuration(vms)
+        record, state = await self.control('/record'), await self.control('/inspect')
+        (self.folder / 'record.json').write_text(json.dumps(
+            dict(record, statements=[each for caller in callers
+                                     for each in caller.statements.values()])))
+        self.ended_by_themselves(problems)
+        problems += judge(callers, record, state, self.events, organisations(), tail_from)
+        return problems, callers
+
+    async def final_configuration(self, vms):
+        """Every VM serves the newest routes and refuses revoked keys."""
+        problems = []
+        for address in vms:
+            probes = [(host, self.keys['org-a'][0], True) for host in self.added[-1:]]
+            probes += [('orders', key, False) for key in self.revoked[-1:]]
+            for host, key, expected in probes:
+                probe = Caller(900, [address], self.callers_address, 'org-a', key, 0)
+                served = await probe.probe(host)
+                if served != expected:
+                    problems.append(f'{address[0]}: {host} with {key}: served {served}')
+        return problems
+
+    def ended_by_themselves(self, problems):
+        for name, process in self.processes.items():
+            if process.poll() is not None:
+                problems.append(f'{name} ended with status {process.returncode}')
+
+
+def run_seed(seed, slot, keep):
+    with tempfile.TemporaryDirectory(prefix='jackdawvane-soak-') as folder:
+        soak = Soak(seed, f'127.{30 + slot}', folder)
+        callers = []
+        try:
+            problems, callers = asyncio.run(soak.run())
+        except (OSError, RuntimeError, asyncio.IncompleteReadError) as failure:
+            problems = [f'the run failed: {failure!r}']
+        finally:
+            soak.stop_all()
+        operations = sum(len(caller.operations) for caller in callers)
+        served = sum(operation['ok'] for caller in callers for operation in caller.operations)
+        print(f'seed {seed}: {len(soak.events)} events, {operations} operations, {served} served, '
+              f'{len(problems)} problems', flush=True)
+        if problems or keep:
+            kept = pathlib.Path(tempfile.gettempdir()) / f'jackdawvane-soak-{seed}'
+            kept.mkdir(exist_ok=True)
+            for file in pathlib.Path(folder).iterdir():
+                (kept / file.name).write_bytes(file.read_bytes())
+            begin = soak.started
+            (kept / 'events.txt').write_text(
+                ''.join(f'{at - begin:8.3f} {text}\n' for at, text in soak.events))
+            print(f'    logs in {kept}', flush=True)
+        for problem in problems[:8]:
+            print(f'    FAILED: {problem}', flush=True)
+        return len(problems)
+
+
+def regression_seeds():
+    lines = (ROOT / 'tools' / 'soak-seeds.txt').read_text().splitlines()
+    return [line.split()[0] for line in lines if line and not line.startswith('#')]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__,
+                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument('seeds', nargs='*', metavar='SEED')
+    parser.add_argument('--regression', action='store_true')
+    parser.add_argument('--jobs', type=int, default=1)
+    parser.add_argument('--keep', action='store_true', help='keep the logs of every seed')
+    options = parser.parse_args()
+    seeds = []
+    for text in options.seeds + (regression_seeds() if options.regression else []):
+        first, _, last = text.partition('-')
+        seeds += range(int(first), int(last or first) + 1)
+    running, failed = {}, 0
+    while seeds or running:
+        free = [slot for slot in range(options.jobs) if slot not in running]
+        if seeds and free:
+            child = os.fork()
+            seed = seeds.pop(0)
+            if child == 0:
+                os._exit(min(1, run_seed(seed, free[0], options.keep)))
+            running[free[0]] = child
+            continue
+        ended, status = os.wait()
+        running = {slot: child for slot, child in running.items() if child != ended}
+        failed += status != 0
+    print(f'{failed} seeds failed')
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tools/soak_callers.py
@@ -0,0 +1,162 @@
+"""Callers of the fault soak: SQL sessions whose statements and answers are kept for the judge."""
+import asyncio
+import random
+import time
+
+ROUTES = ('orders', 'catalogue', 'stock')
+ITEMS = 40
+STATEMENT_S = 4      # a statement without an answer is given up; the route's limit is 2 s
+PAUSE_S = (0.02, 0.5)
+
+
+class Ended(Exception):
+    """The session has ended."""
+
+
+class Caller:
+    """One caller; it has one session at a time, on any VM."""
+
+    def __init__(self, number, vms, address, organisation, key, seed):
+        self.number, self.vms, self.address = number, vms, address
+        self.organisation, self.key = organisation, key
+        self.random = random.Random(seed)
+        self.statements = {}   # id -> what was sent and answered
+        self.operations = []
+        self.sequence, self.stopping = 0, False
+        self.reader = self.writer = None
+
+    def stop(self):
+        self.stopping = True
+
+    async def run(self):
+        while not self.stopping:
+            try:
+                await self.open(self.random.choice(ROUTES))
+                while not self.stopping and self.random.random() > 0.1:
+                    await self.operate()
+                    await asyncio.sleep(self.random.uniform(*PAUSE_S))
+            except (Ended, OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                await asyncio.sleep(self.random.uniform(0.05, 0.4))
+            finally:
+                self.close()
+
+    async def probe(self, route):
+        """Whether a read on a new session of @a route is served."""
+        try:
+            await self.open(route)
+            return (await self.query('READ probe', 0))['error'] == ''
+        except (Ended, OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return False
+        finally:
+            self.close()
+
+    def close(self):
+        if self.writer is not None:
+            self.writer.close()
+            self.writer = None
+
+    async def open(self, route):
+        host, port = self.random.choice(self.vms)
+        self.reader, self.writer = await asyncio.wait_for(
+            asyncio.open_connection(host, port, local_addr=(self.address, 0)), 2)
+        self.route, self.values, self.prepared = route, {}, {}
+        self.session = f'{self.number}-{self.sequence}'
+        self.writer.write(f'STARTUP {route} {self.key}\r\n'.encode())
+        line = await asyncio.wait_for(self.reader.readline(), 2)
+        if not line.startswith(b'READY'):
+            raise Ended(line)
+
+    async def query(self, text, transaction):
+        self.sequence += 1
+        name = f'{self.number:04x}{self.sequence:012x}'
+        sent = dict(id=name, text=text, route=self.route, session=self.session,
+                    organisation=self.organisation, transaction=transaction,
+                    values=dict(self.values), sent=time.monotonic(), answered=None, error=None,
+                    rows=[], signature='', shape='')
+        words = text.split()
+        if words[0] == 'EXECUTE':
+            sent['shape'] = self.prepared[words[1]]
+        self.statements[name] = sent
+        self.writer.write(f'QUERY {name} {text}\r\n'.encode())
+        while True:
+            line = await asyncio.wait_for(self.reader.readline(), STATEMENT_S)
+            if not line.endswith(b'\r\n'):
+                raise Ended('closed')
+            word, _, rest = line.decode().rstrip('\r\n').partition(' ')
+            if word == 'ROW':
+                sent['rows'].append(rest)
+            elif word == 'COMPLETE':
+                sent['error'], sent['signature'] = '', rest
+            elif word == 'ERROR':
+                sent['error'] = rest.split(' ')[0]
+            elif word == 'READY':
+                sent['answered'] = time.monotonic()
+                sent['state'] = rest.split(' ')[0]
+                return sent
+
+    async def operate(self):
+        """One operation: a single statement or a transaction."""
+        operation = dict(at=time.monotonic(), ok=False, organisation=self.organisation,
+                         statements=[], error='no answer')
+        self.operations.append(operation)
+        before = self.sequence
+        kinds = [self.read, self.read, self.transaction, self.read_with_value, self.execute]
+        if self.route != 'catalogue':
+            kinds.append(self.write)
+        try:
+            operation['error'] = await self.random.choice(kinds)()
+            operation['ok'] = operation['error'] == ''
+        finally:
+            operation['statements'] = [f'{self.number:04x}{number:012x}'
+                                       for number in range(before + 1, self.sequence + 1)]
+
+    def item(self):
+        return f'i{self.random.randrange(ITEMS)}'
+
+    def writing(self):
+        return f'{self.item()} d{self.number}x{self.sequence}'
+
+    async def read(self):
+        return (await self.query(f'READ {self.item()}', 0))['error']
+
+    async def write(self):
+        return (await self.query(f'WRITE {self.writing()}', 0))['error']
+
+    async def read_with_value(self):
+        name, value = self.random.choice(('zone', 'unit')), f'v{self.random.randrange(5)}'
+        if (await self.query(f'SET {name} {value}', 0))['error']:
+            raise Ended('a value was refused')
+        self.values[name] = value
+        return await self.read()
+
+    async def execute(self):
+        writes = self.route != 'catalogue' and self.random.random() < 0.4
+        name = f's{self.random.randrange(3)}'
+        if name not in self.prepared:
+            shape = f'{"w" if writes else "r"}{self.random.randrange(4)}'
+            prepared = await self.query(
+                f'PREPARE {name} {"WRITE" if writes else "READ"} {shape}', 0)
+            if prepared['error']:
+                raise Ended('a preparation was refused')
+            self.prepared[name] = shape
+        arguments = self.writing() if self.prepared[name][0] == 'w' else self.item()
+        return (await self.query(f'EXECUTE {name} {arguments}', 0))['error']
+
+    async def transaction(self):
+        number = self.sequence + 1
+        only_reads = self.route == 'catalogue' or self.random.random() < 0.3
+        texts = ['BEGIN READ' if only_reads else 'BEGIN']
+        for _ in range(self.random.randint(1, 4)):
+            reads = only_reads or self.random.random() < 0.5
+            texts.append(f'READ {self.item()}' if reads else f'WRITE {self.writing()}')
+        texts.append('ROLLBACK' if self.random.random() < 0.15 else 'COMMIT')
+        for text in texts:
+            answer = await self.query(text, number)
+            if answer['error']:
+                if answer['state'] == 'I' and text != texts[-1]:
+                    return answer['error']
+                if answer['state'] != 'I':
+                    await self.query('ROLLBACK', number)
+                return answer['error']
+            await asyncio.sleep(self.random.uniform(0, 0.05))
+        return ''
--- /dev/null
+++ b/tools/soak_judge.py
@@ -0,0 +1,232 @@
+"""Judge of the fault soak: compares what callers got with what backend servers ran."""
+import bisect
+import collections
+
+PROMISES = ('BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'MISROUTED', 'TOOMANY')
+QUOTA_WINDOW_S, QUOTA_OVERAGE, QUOTA_TOLERANCE = 5, 0.1, 20  # as the sites' bounds have them
+STALENESS_S = {'orders': 0, 'catalogue': 1.5, 'stock': 2.5}
+SERVED_SHARE = 0.5   # of the operations within their limit, after all faults have ended
+DISTURBED_S = 0.5    # a VM counts as disturbed this long after a pause or a cut
+
+
+def position(text):
+    term, _, number = text.partition('.')
+    return int(term), int(number)
+
+
+class Evidence:
+    """What callers and backend servers saw, indexed."""
+
+    def __init__(self, callers, record, state):
+        self.sent = {name: entry for caller in callers
+                     for name, entry in caller.statements.items()}
+        self.operations = [each for caller in callers for each in caller.operations]
+        self.runs = [run for run in record['runs'] if not run['id'].startswith('0384')]
+        self.promotions = record['promotions']
+        self.by_id = collections.defaultdict(list)
+        for run in self.runs:
+            self.by_id[run['id']].append(run)
+        self.kept, self.rolled_back, self.places = collections.Counter(), set(), {}
+        for group in state['groups'].values():
+            self.rolled_back.update(group['rolled_back'])
+            for entry in group['log']:
+                for name in entry['statements']:
+                    self.kept[name] += 1
+                    self.places[name] = (entry['term'], entry['number'])
+
+    def run_of(self, entry):
+        """The run whose answer the caller got."""
+        return next((run for run in self.by_id[entry['id']]
+                     if not run['error'] and run['signature'] == entry['signature']), None)
+
+
+def plain(text):
+    """Text without the prepared name, which the proxy may change."""
+    words = text.split(' ', 2)
+    return f'EXECUTE {words[2]}' if words[0] == 'EXECUTE' else text
+
+
+def writes(entry):
+    return entry['text'].startswith('WRITE') or entry['shape'].startswith('w')
+
+
+def works(entry):
+    return entry['text'].split()[0] in ('READ', 'WRITE', 'EXECUTE', 'COMMIT')
+
+
+def mixed(evidence):
+    """MIXED: success without the backend server's signature, or with other rows."""
+    for entry in evidence.sent.values():
+        if entry['error'] == '' and works(entry) and entry['signature'] != '-':
+            run = evidence.run_of(entry)
+            if run is None or run['rows'] != entry['rows']:
+                yield f'mixed: {entry["id"]} {entry["text"]}: {entry["signature"]}, ran {run}'
+        elif entry['error'] == '' and entry['text'].split()[0] in ('READ', 'WRITE', 'EXECUTE'):
+            yield f'mixed: {entry["id"]} {entry["text"]} has no signature'
+
+
+def unasked(evidence):
+    """UNASKED: a statement that no caller sent, changed, or under another organisation."""
+    for run in evidence.runs:
+        entry = evidence.sent.get(run['id'])
+        if entry is None or plain(entry['text']) != plain(run['text']):
+            yield f'unasked: {run["id"]} {run["text"]}, sent {entry and entry["text"]}'
+        elif run['organisation'] != entry['organisation']:
+            yield f'unasked: {run["id"]} ran for {run["organisation"]}'
+
+
+def pinned(evidence):
+    """PINNED: transactions that share a connection or change it, foreign values or shapes."""
+    places, owners, first = {}, {}, {}
+    for run in evidence.runs:
+        entry = evidence.sent.get(run['id'])
+        if entry is None or run['error'] or not works(entry):
+            continue
+        # The first read of a transaction whose answer was lost may be read again elsewhere, in a
+        # new transaction (seed 3: the backend server crashed between the run and the answer).
+        opening = first.setdefault((entry['session'], entry['transaction']), entry['id'])
+        answered = evidence.run_of(entry) if entry['error'] == '' else None
+        if (entry['transaction'] > 0 and opening == entry['id'] and not writes(entry)
+                and answered is not run and (answered is None or run['at'] < answered['at'])):
+            continue
+        place = (run['member'], run['connection'], run['transaction'])
+        own = (entry['session'], entry['transaction'])
+        if (entry['transaction'] > 0) != (run['state'] == 'T'):
+            yield f'pinned: {run["id"]} {run["text"]} ran in state {run["state"]}'
+        elif entry['transaction'] > 0:
+            if places.setdefault(own, place) != place or owners.setdefault(place, own) != own:
+                yield f'pinned: {run["id"]}: {own} at {place}, before at {places[own]}'
+        if run['values'] != entry['values']:
+            yield f'pinned: {run["id"]} ran with values {run["values"]}, not {entry["values"]}'
+        if run['shape'] != entry['shape']:
+            yield f'pinned: {run["id"]} ran shape {run["shape"]}, not {entry["shape"]}'
+
+
+def commits(evidence):
+    """TWICE, REFUSED and LOST."""
+    for name, count in evidence.kept.items():
+        if count > 1:
+            yield f'twice: {name} took effect {count} times'
+    by_transaction = collections.defaultdict(list)
+    for entry in evidence.sent.values():
+        by_transaction[entry['session'], entry['transaction'] or entry['id']].append(entry)
+    for entries in by_transaction.values():
+        effective = [each['id'] for each in entries
+                     if each['id'] in evidence.kept or each['id'] in evidence.rolled_back]
+        last = entries[-1]
+        promised = any(each['error'] in PROMISES for each in entries)
+        if effective and promised:
+            yield f'refused: {effective} kept after {[each["error"] for each in entries]}'
+        single = last['transaction'] == 0 and writes(last)
+        if last['error'] == '' and (single or last['text'] == 'COMMIT'):
+            missing = {each['id'] for each in entries if writes(each)} - set(effective)
+            if missing:
+                yield f'lost: {missing} acknowledged by {last["id"]}'
+
+
+def stale(evidence):
+    """STALE: a read on a log without a commit that it had to show."""
+    acknowledged = collections.defaultdict(list)   # group -> (time, place, session)
+    by_transaction = collections.defaultdict(list)
+    for entry in evidence.sent.values():
+        by_transaction[entry['session'], entry['transaction'] or entry['id']].append(entry)
+    begun = {key: entries[0]['sent'] for key, entries in by_transaction.items()}
+    group_of = {'orders': 'ledger', 'catalogue': 'ledger', 'stock': 'parts'}
+    for entries in by_transaction.values():
+        last = entries[-1]
+        if last['error'] == '':
+            for each in entries:
+                if each['id'] in evidence.places and each['id'] not in evidence.rolled_back:
+                    acknowledged[group_of[each['route']]].append(
+                        (last['answered'], evidence.places[each['id']], last['session']))
+    newest = {}
+    for group, rows in acknowledged.items():
+        rows.sort()
+        highest, times, places = (0, 0), [], []
+        for at, place, _session in rows:
+            highest = max(highest, place)
+            times.append(at)
+            places.append(highest)
+        newest[group] = (times, places)
+    for entry in evidence.sent.values():
+        run = evidence.run_of(entry) if entry['error'] == '' and entry['rows'] else None
+        if run is None or entry['route'] not in group_of:
+            continue
+        start = begun[entry['session'], entry['transaction'] or entry['id']]
+        times, places = newest.get(group_of[entry['route']], ([], []))
+        at = bisect.bisect_left(times, start - STALENESS_S[entry['route']])
+        needed = places[at - 1] if at else (0, 0)
+        if entry['route'] == 'stock':
+            own = [place for when, place, session in acknowledged['parts']
+                   if session == entry['session'] and when < start]
+            needed = max([needed] + own)
+        if position(run['position']) < needed:
+            yield f'stale: {entry["id"]} on {entry["route"]} at {run["position"]}, needed {needed}'
+
+
+def one(evidence, events):
+    """ONE: fencing tokens, and acknowledgements by a replaced primary."""
+    holders, newest = {}, 0
+    for call in evidence.promotions:
+        head = {name.lower(): value.strip() for name, _, value in
+                (line.partition(':') for line in call['head'].split('\r\n')[1:])}
+        token = int(head['x-jackdawvane-fencing-token'])
+        holder = head['x-jackdawvane-lease-holder']
+        if holders.setdefault(token, holder) != holder:
+            yield f'one: {holder} and {holders[token]} have token {token}'
+        if token < newest:
+            yield f'one: token {token} after {newest}'
+        newest = max(newest, token)
+    disturbed = [at for at, text in events if text.startswith(('paused', 'cut', 'silenced'))]
+    ended = [at for at, text in events if text.startswith(('resumed', 'healed'))]
+    for name in evidence.rolled_back:
+        entry = evidence.sent.get(name)
+        for run in evidence.by_id[name] if entry and entry['error'] == '' else []:
+            replaced = [call for call in evidence.promotions
+                        if call['service'] == run['group'] and call['id'] != run['member']
+                        and call.get('effective') and call['effective'] < run['at']
+                        and position(run['position'])[0] < call['term']]
+            calm = all(not begin < run['at'] < end + DISTURBED_S
+                       for begin, end in zip(disturbed, ended + [float('inf')] * len(disturbed)))
+            if replaced and calm and entry['transaction'] == 0:
+                yield f'one: {name} acknowledged at {run["member"]} after {replaced[-1]["id"]} led'
+
+
+def quota(evidence, limits):
+    """QUOTA: operations of an organisation that ran in some window."""
+    first = {}
+    for operation in evidence.operations:
+        times = [run['at'] for name in operation['statements'] for run in evidence.by_id[name]]
+        if times:
+            first.setdefault(operation['organisation'], []).append(min(times))
+    for organisation, times in first.items():
+        limit = limits[organisation]
+        most = ((limit['rate_per_s'] * QUOTA_WINDOW_S + limit['burst']) * (1 + QUOTA_OVERAGE)
+                + QUOTA_TOLERANCE)
+        times.sort()
+        for index, at in enumerate(times):
+            count = bisect.bisect_right(times, at + QUOTA_WINDOW_S) - index
+            if count > most:
+                yield f'quota: {count} operations of {organisation} in {QUOTA_WINDOW_S} s'
+                break
+
+
+def served(evidence, tail_from):
+    """Service after all faults have ended; the organisation above its limit does not count."""
+    owed = [each for each in evidence.operations
+            if each['at'] >= tail_from and each['organisation'] != 'org-hot']
+    done = sum(each['ok'] for each in owed)
+    if not owed or done < SERVED_SHARE * len(owed):
+        kinds = collections.Counter(each['error'] for each in owed)
+        yield f'served: {done} of {len(owed)} after all faults ended: {dict(kinds)}'
+
+
+def judge(callers, record, state, events, limits, tail_from):
+    """Everything that must not happen, as text."""
+    evidence = Evidence(callers, record, state)
+    found = []
+    for check in (mixed(evidence), unasked(evidence), pinned(evidence), commits(evidence),
+                  stale(evidence), one(evidence, events), quota(evidence, limits),
+                  served(evidence, tail_from)):
+        found += list(check)
+    return found
