Spend fewer store calls on rate shares in a large fleet, and strand no share

The logs show parts of the rate at VMs that joined while they knew few others. They were no holders in the end, gave their part back after 90 s only, and were asked by nobody. Of 5253 calls in 20 s, 2316 were reads and 1083 writes of share records: each VM read each record at its start, and each change made every holder read. Ruled out: too small parts. Change: a VM that is no target gives its part back after 2 s; a first join waits until the targets have not changed for 1 s; a VM that is no target reads the record at leisure; a notice carries the record; a large deployment has three holders for each organisation and moves no rate between them.

--- a/include/jackdawvane/limits/organisation_limiter.hpp
+++ b/include/jackdawvane/limits/organisation_limiter.hpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <vector>
@@ -30,6 +31,7 @@
     duration lease_renewal{std::chrono::seconds{10}};
     duration share_interval{std::chrono::seconds{1}}; ///< Between requests for more rate.
     std::uint32_t holders_per_domain{3};
+    std::uint32_t most_holders{std::numeric_limits<std::uint32_t>::max()}; ///< Over all domains.
     double messages_per_second{30}; ///< Token requests in vain per organisation; bounds overload.
     share_settings shares;
 
@@ -43,6 +45,7 @@
                           field("lease_renewal_us", &self::lease_renewal),
                           field("share_interval_us", &self::share_interval),
                           field("holders_per_domain", &self::holders_per_domain),
+                          field("most_holders", &self::most_holders),
                           field("messages_per_second", &self::messages_per_second),
                           field("shares", &self::shares)};
     }
--- a/include/jackdawvane/limits/share_ledger.hpp
+++ b/include/jackdawvane/limits/share_ledger.hpp
@@ -5,6 +5,7 @@
 #include "jackdawvane/foundation/time.hpp"
 #include "jackdawvane/foundation/types.hpp"
 #include "jackdawvane/limits/share_record.hpp"
+#include "jackdawvane/node/peer.hpp"
 #include "jackdawvane/node/ports.hpp"
 #include "jackdawvane/node/store.hpp"
 
@@ -22,7 +23,11 @@
 struct share_settings {
     duration refresh{std::chrono::seconds{90}};           ///< Mean time between record reads.
     duration join_spread{std::chrono::milliseconds{300}}; ///< Spreads joins to avoid conflicts.
-    duration takeover_step{std::chrono::seconds{2}};      ///< Wait per rank for shared work.
+    duration join_settle{0}; ///< A VM that is not in the record joins when it was a target so long.
+    duration takeover_step{std::chrono::seconds{2}}; ///< Wait per rank for shared work.
+    /// A VM that is no target any more gives its part back after this time. Other VMs do not ask
+    /// it for tokens, so its part is out of use meanwhile.
+    duration return_after{std::chrono::seconds{90}};
     /// From the last use of a part until it may be another's: tokens in transit settle first.
     duration settle{std::chrono::milliseconds{500}};
     duration shortest_retry{std::chrono::milliseconds{500}};
@@ -31,7 +36,9 @@
     static constexpr auto fields() {
         return std::tuple{field("refresh_us", &share_settings::refresh),
                           field("join_spread_us", &share_settings::join_spread),
+                          field("join_settle_us", &share_settings::join_settle),
                           field("takeover_step_us", &share_settings::takeover_step),
+                          field("return_after_us", &share_settings::return_after),
                           field("settle_us", &share_settings::settle),
                           field("shortest_retry_us", &share_settings::shortest_retry),
                           field("longest_retry_us", &share_settings::longest_retry)};
@@ -79,8 +86,8 @@
     /// @brief VMs that shall hold shares; the fleet in the context may have changed as well.
     void set_targets(time_point now, std::vector<vm_id> targets, actions& out);
 
-    /// @brief Another VM says that the record has got @a version.
-    void on_notice(time_point now, std::uint64_t version, actions& out);
+    /// @brief Another VM says that the record has got a new version.
+    void on_notice(time_point now, const share_notice& notice, actions& out);
 
     /// @return whether the answer belongs to a call of this ledger
     bool on_store(time_point now, const store_answer& answer, actions& out);
@@ -157,6 +164,7 @@
     [[nodiscard]] bool superseded() const noexcept;
     [[nodiscard]] bool wanted(time_point now) const noexcept;
     [[nodiscard]] bool waits_to_join() const noexcept;
+    [[nodiscard]] bool uninvolved() const noexcept;
     [[nodiscard]] bool distribution_due(time_point now, const share_record& next) const;
     [[nodiscard]] const share_holder* own_entry() const noexcept;
     [[nodiscard]] const share_holder* lease_to_check() const;
@@ -195,7 +203,9 @@
     time_point retry_at_{};
     duration retry_delay_{0};
     time_point refresh_at_{no_deadline};
+    time_point first_read_at_{}; ///< First read of a VM that is not involved.
     time_point join_at_{};
+    time_point first_join_at_{}; ///< As `join_at_`, for a VM that has no entry in the record.
     time_point drained_at_{no_deadline}; ///< When the unwanted own part may be given back.
     time_point untargeted_since_{no_deadline};
     time_point incomplete_since_{no_deadline}; ///< Since when a target has not joined.
--- a/include/jackdawvane/node/peer.hpp
+++ b/include/jackdawvane/node/peer.hpp
@@ -3,6 +3,7 @@
 #include "jackdawvane/configuration/configuration.hpp"
 #include "jackdawvane/foundation/json_codec.hpp"
 #include "jackdawvane/foundation/types.hpp"
+#include "jackdawvane/limits/share_record.hpp"
 #include "jackdawvane/node/backend.hpp"
 #include "jackdawvane/node/caller.hpp"
 #include "jackdawvane/node/store.hpp"
@@ -309,15 +310,18 @@
     }
 };
 
-/// @brief The share record of an organisation changed; read it again.
+/// @brief The share record of an organisation changed.
 struct share_notice {
     static constexpr const char* method = "share.notice";
     organisation_id organisation;
     std::uint64_t version{0}; ///< Store version of the record.
+    /// What the store has at that version. Without it the receiver reads the record.
+    std::optional<share_record> record;
 
     static constexpr auto fields() {
         return std::tuple{field("organisation", &share_notice::organisation),
-                          field("version", &share_notice::version)};
+                          field("version", &share_notice::version),
+                          field("record", &share_notice::record)};
     }
 };
 
--- a/include/jackdawvane/sessions/session_proxy.hpp
+++ b/include/jackdawvane/sessions/session_proxy.hpp
@@ -21,7 +21,8 @@
     std::vector<endpoint> seeds; ///< Peer endpoints to ask when the store does not answer.
     std::map<failure_domain_id, region_id> regions;
     std::uint64_t random_seed{1};
-    std::size_t holders_per_domain{3}; ///< Share holders per failure domain.
+    std::uint32_t holders_per_domain{3}; ///< Holders of an organisation's rate per failure domain.
+    std::uint32_t most_holders{9};       ///< Holders of an organisation's rate in all.
     /// Longest wait of an operation for its organisation's rate; far below any target latency.
     duration token_wait{from_milliseconds(200)};
     /// As `token_wait`, while this VM's share is not confirmed after its start.
@@ -34,6 +35,9 @@
     /// Tokens in transit are void after 150 ms; a part changes hands after that.
     duration share_settle{from_milliseconds(220)};
     duration share_retry{from_milliseconds(60)};
+    /// A first join waits until the VMs' views of the fleet agree after a start of all.
+    duration share_join_settle{from_milliseconds(1000)};
+    duration share_return{from_milliseconds(2000)};
     duration lease_renewal{from_milliseconds(1500)};
     /// Life of a lease not renewed; the share of a killed VM is out of use for this time.
     duration lease_duration{from_milliseconds(5000)};
--- a/src/core/limits/organisation_limiter.cpp
+++ b/src/core/limits/organisation_limiter.cpp
@@ -70,7 +70,8 @@
         return {handle, admission_state::admitted, {error_kind::none, {}, {}}};
     }
     consider_share_request(now, out);
-    const auto patience = uses_share() ? context_.limits.pending : context_.limits.joining;
+    const bool joins = ledger_.target() && !uses_share();
+    const auto patience = joins ? context_.limits.joining : context_.limits.pending;
     const auto give_up = std::min(deadline, now + patience);
     if (waiting_.size() >= longest_line || give_up <= now) {
         short_at_ = now;
@@ -335,7 +336,8 @@
         live.push_back(entry);
     }
     auto holders = share_holders(organisation_, live, context_.limits.holders_per_domain);
-    const auto enough = std::max(1.0, std::floor(row_->burst / smallest_burst_part));
+    const auto enough = std::min<double>(
+        context_.limits.most_holders, std::max(1.0, std::floor(row_->burst / smallest_burst_part)));
     if (static_cast<double>(holders.size()) <= enough) {
         return holders;
     }
--- a/src/core/limits/organisation_limiter_peers.cpp
+++ b/src/core/limits/organisation_limiter_peers.cpp
@@ -117,7 +117,7 @@
 
 void organisation_limiter::on_peer(time_point now, const vm_id& /*from*/,
                                    const share_notice& message, actions& out) {
-    ledger_.on_notice(now, message.version, out);
+    ledger_.on_notice(now, message, out);
     update(now, out);
 }
 
--- a/src/core/limits/share_ledger.cpp
+++ b/src/core/limits/share_ledger.cpp
@@ -30,6 +30,9 @@
     if (newer <= configured_revision_) {
         return;
     }
+    if (configured_revision_ == jackdawvane::revision{}) {
+        first_read_at_ = now + random_part(context_.settings.refresh);
+    }
     configured_revision_ = newer;
     configured_ = limits;
     leaving_ = false;
@@ -39,10 +42,15 @@
 
 void share_ledger::set_targets(time_point now, std::vector<vm_id> targets, actions& out) {
     const bool was_target = target();
+    const bool changed = targets != targets_;
     targets_ = std::move(targets);
-    if (target() && !was_target) {
+    // VMs that start together see the fleet grow; a join that follows each view leaves parts with
+    // VMs that are no targets in the end.
+    const bool listed = record_.find(context_.self) != nullptr;
+    if (target() && (!was_target || (changed && !listed))) {
         // An earlier incarnation may have tokens in transit.
         join_at_ = now + context_.settings.settle + random_part(context_.settings.join_spread);
+        first_join_at_ = join_at_ + context_.settings.join_settle;
         untargeted_since_ = no_deadline;
     } else if (!target() && was_target) {
         untargeted_since_ = now;
@@ -54,8 +62,14 @@
     advance(now, out);
 }
 
-void share_ledger::on_notice(time_point now, std::uint64_t version, actions& out) {
-    noticed_ = std::max(noticed_, version);
+void share_ledger::on_notice(time_point now, const share_notice& notice, actions& out) {
+    noticed_ = std::max(noticed_, notice.version);
+    // The answer to a call in flight may be older. After a pause past the lease only the store
+    // tells whether the part is still there.
+    const bool usable = call_kind_ == call_kind::none && !confirm_needed_;
+    if (notice.record && usable && notice.version > version_) {
+        observe(now, *notice.record, notice.version, out);
+    }
     read_needed_ = read_needed_ || noticed_ > version_;
     advance(now, out);
 }
@@ -121,6 +135,9 @@
     if (!read_needed_ && confirm_needed_ && !context_.lease_renewed) {
         return no_deadline; // The renewal's answer comes first.
     }
+    if (uninvolved()) {
+        return std::max(first_read_at_, retry_at_);
+    }
     if (read_needed_ || confirm_needed_ || !unresolved_.empty() || transfer_) {
         return retry_at_;
     }
@@ -129,10 +146,10 @@
         due = std::min(due, refresh_at_);
     }
     if (waits_to_join()) {
-        due = std::min(due, join_at_);
+        due = std::min(due, record_.find(context_.self) != nullptr ? join_at_ : first_join_at_);
     }
     if (drained_at_ == no_deadline && holder() && untargeted_since_ != no_deadline) {
-        due = std::min(due, untargeted_since_ + context_.settings.refresh);
+        due = std::min(due, untargeted_since_ + context_.settings.return_after);
     }
     return std::max(due, retry_at_);
 }
@@ -176,7 +193,7 @@
 }
 
 bool share_ledger::left() const noexcept {
-    return leaving_ && !holder() && !read_needed_ && unresolved_.empty() &&
+    return leaving_ && !holder() && (!read_needed_ || uninvolved()) && unresolved_.empty() &&
            call_kind_ == call_kind::none;
 }
 
@@ -189,6 +206,9 @@
     if (call_kind_ != call_kind::none || now < retry_at_) {
         return;
     }
+    if (uninvolved() && now < first_read_at_) {
+        return;
+    }
     if (read_needed_) {
         start_read(out);
         return;
@@ -255,7 +275,7 @@
         return false;
     }
     return target() || (untargeted_since_ != no_deadline &&
-                        now < untargeted_since_ + context_.settings.refresh);
+                        now < untargeted_since_ + context_.settings.return_after);
 }
 
 bool share_ledger::waits_to_join() const noexcept {
@@ -263,6 +283,13 @@
            configured_revision_ != jackdawvane::revision{};
 }
 
+/// Whether this VM is no target and has not seen the record. It reads it at leisure: only an entry
+/// of its own earlier life matters, and a read of every record at each start of every VM is most
+/// of the store calls of a large fleet.
+bool share_ledger::uninvolved() const noexcept {
+    return read_needed_ && !target() && version_ == 0 && noticed_ == 0 && unresolved_.empty();
+}
+
 bool share_ledger::place_self(time_point now, share_record& next) const {
     auto* own = next.find(context_.self);
     if (own != nullptr && own->incarnation > context_.incarnation) {
@@ -282,7 +309,7 @@
         // The entry of an earlier incarnation: that process has ended, its tokens are lost.
         return std::exchange(own->incarnation, context_.incarnation) != context_.incarnation;
     }
-    if (!target()) {
+    if (!target() || now < first_join_at_) {
         return false;
     }
     const auto equal_part = whole_share / static_cast<std::uint32_t>(targets_.size());
--- a/src/core/limits/share_ledger_calls.cpp
+++ b/src/core/limits/share_ledger_calls.cpp
@@ -182,7 +182,7 @@
         const auto found = context_.live.find(vm);
         if (found != context_.live.end()) {
             out.emplace_back(send_to_peer{vm, found->second.peer, peer_channel::stream,
-                                          share_notice{organisation_, version_}});
+                                          share_notice{organisation_, version_, record_}});
         }
     }
 }
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -58,7 +58,10 @@
     limits.shares.shortest_retry = settings.share_retry;
     limits.lease = settings.lease_duration;
     limits.lease_renewal = settings.lease_renewal;
-    limits.holders_per_domain = static_cast<std::uint32_t>(settings.holders_per_domain);
+    limits.shares.join_settle = settings.share_join_settle;
+    limits.shares.return_after = settings.share_return;
+    limits.holders_per_domain = settings.holders_per_domain;
+    limits.most_holders = settings.most_holders;
     return limits;
 }
 
--- a/tests/core/share_ledger_test.cpp
+++ b/tests/core/share_ledger_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "limiter_fleet.hpp"
 #include <gtest/gtest.h>
 
@@ -25,7 +27,7 @@
     void notify(limiter_fleet::node& target, std::uint64_t version) {
         fleet.on(target, [this, &target, version](actions& out) {
             target.limiter->on_peer(fleet.now, vm_id{"x"},
-                                    share_notice{fleet.organisation, version}, out);
+                                    share_notice{fleet.organisation, version, {}}, out);
         });
     }
     double rate_of(const limiter_fleet::node& each) {
@@ -264,5 +266,91 @@
     EXPECT_LT(leases_per_second + records * organisations, 2.5);
 }
 
+/// Twelve VMs of which three hold shares.
+class LargeFleet : public testing::Test {
+  protected:
+    static constexpr std::size_t size = 12;
+
+    LargeFleet() : fleet{settings()} {
+        for (std::size_t i = 0; i < size; ++i) {
+            fleet.start("vm" + std::to_string(i), 1, "d" + std::to_string(i % 6));
+        }
+    }
+
+    static rate_limiter_settings settings() {
+        rate_limiter_settings chosen;
+        chosen.holders_per_domain = 1;
+        chosen.most_holders = 3;
+        chosen.shares.return_after = seconds{2};
+        chosen.joining = seconds{10};
+        return chosen;
+    }
+    /// Tells every VM of the first @a count VMs and itself.
+    void announce_first(std::size_t count) {
+        for (auto& each : fleet.nodes) {
+            std::vector<vm_entry> live;
+            for (std::size_t i = 0; i < size; ++i) {
+                if (i < count || fleet.nodes[i] == each) {
+                    live.push_back(fleet.nodes[i]->entry);
+                }
+            }
+            fleet.on(*each,
+                     [&](actions& out) { each->limiter->set_fleet(fleet.now, live, {}, out); });
+        }
+    }
+    std::uint32_t part_of_targets() {
+        std::uint32_t sum{0};
+        for (const auto& each : fleet.nodes) {
+            const auto& ledger = fleet.limiter(*each).ledger();
+            sum += ledger.target() ? ledger.usable_part() : 0;
+        }
+        return sum;
+    }
+
+    limiter_fleet fleet;
+};
+
+/// Guards against parts that stay with VMs that joined while they knew few others: nobody asks
+/// them for tokens, and requests are refused below the limit.
+TEST_F(LargeFleet, PartsOfEarlyJoinersReachTheTargets) {
+    fleet.configure_all(1, 90, 30);
+    for (const std::size_t count : {1U, 3U, 6U, 9U, 12U}) {
+        announce_first(count);
+        fleet.run(from_milliseconds(900)); // Longer than the wait of a join.
+    }
+    fleet.run(seconds{8});
+    EXPECT_GT(part_of_targets(), whole_share * 98 / 100);
+    EXPECT_EQ(fleet.record().holders.size(), 3U);
+}
+
+/// Guards against a read of every record by every VM at its start.
+TEST_F(LargeFleet, VmWithoutShareDoesNotReadTheRecordAtItsStart) {
+    int reads{0};
+    fleet.call_fate = [&](const store_request& request) {
+        reads += request.operation == store_operation::read ? 1 : 0;
+        return limiter_fleet::store_fate{};
+    };
+    fleet.configure_all(1, 90, 30);
+    fleet.announce_fleet();
+    fleet.run(seconds{1});
+    EXPECT_LE(reads, 6); // Each holder reads when it starts and after a notice.
+}
+
+/// Guards against a caller of a VM without a share that waits for a join that does not come.
+TEST_F(LargeFleet, VmWithoutShareDoesNotWaitToJoin) {
+    fleet.configure_all(1, 90, 30);
+    fleet.announce_fleet();
+    fleet.run(seconds{4});
+    fleet.message_fate = [](const peer_message&) { return limiter_fleet::fate{}; };
+    admission last;
+    fleet.decided = [&](auto& /*at*/, const admission& each) { last = each; };
+    const auto other = std::find_if(fleet.nodes.begin(), fleet.nodes.end(), [&](const auto& each) {
+        return !fleet.limiter(*each).ledger().target();
+    });
+    EXPECT_EQ(fleet.request(**other), admission_state::pending);
+    fleet.run(from_milliseconds(60));
+    EXPECT_EQ(last.state, admission_state::refused);
+}
+
 } // namespace
 } // namespace jackdawvane
--- a/tests/platform/entry_settings_test.cpp
+++ b/tests/platform/entry_settings_test.cpp
@@ -30,7 +30,9 @@
     for (const auto* domain : {"g", "h", "i"}) {
         settings->regions[domain] = "r";
     }
-    EXPECT_EQ(make_proxy_settings(*settings, vm_incarnation{1}, 2).holders_per_domain, 1U);
+    const auto proxy = make_proxy_settings(*settings, vm_incarnation{1}, 2);
+    EXPECT_EQ(proxy.holders_per_domain, 1U);
+    EXPECT_EQ(proxy.most_holders, 3U);
 }
 
 struct mistake {
