Tell the loss of a transaction also in the backlog of a pause

Cause: the check for the backlog of a pause stood before the one for a lost transaction, so the rest of such a transaction was answered as refused and idle instead of lost. Ruled out: a wrong promise; the lost connection has rolled back either way. Change: the backlog check comes after it and covers new statements only. Test: MemberOwner.TellsTheLossOfATransactionDuringAPause fails with the former order.

--- a/src/core/sessions/member_owner.cpp
+++ b/src/core/sessions/member_owner.cpp
@@ -37,13 +37,6 @@
         start(now, entry, std::move(statement), bound->second.connection, out);
         return;
     }
-    if (now < backlog_until_) {
-        log(out.common, "owner", log_level::info,
-            "not_run request=" + statement.main.id.str() + " entry=" + entry.str() +
-                " backend=" + statement.backend.str() + " reason=backlog_of_a_pause");
-        give_back({entry, std::move(statement)}, statement_error::busy);
-        return;
-    }
     if (statement.continues) {
         // The connection was lost. On another one the statement would run outside its transaction.
         attempt_result lost;
@@ -53,6 +46,13 @@
         results_.push_back({entry, std::move(lost)});
         return;
     }
+    if (now < backlog_until_) {
+        log(out.common, "owner", log_level::info,
+            "not_run request=" + statement.main.id.str() + " entry=" + entry.str() +
+                " backend=" + statement.backend.str() + " reason=backlog_of_a_pause");
+        give_back({entry, std::move(statement)}, statement_error::busy);
+        return;
+    }
     const auto& backend = statement.backend;
     auto& queue = queues_.try_emplace(backend, settings_.queue_limit).first->second;
     std::uint32_t weight = 1;
--- a/tests/core/statement_executor_test.cpp
+++ b/tests/core/statement_executor_test.cpp
@@ -360,6 +360,20 @@
     EXPECT_FALSE(fixture.take<open_member>().empty());
 }
 
+// Guards against the rest of a lost transaction that is reported as refused: its session would stay
+// in the transaction.
+TEST(MemberOwner, TellsTheLossOfATransactionDuringAPause) {
+    session_fixture fixture;
+    member_statement statement;
+    statement.backend = backend_server_id{"r1"};
+    statement.continues = true;
+    fixture.owner.paused(at(5000));
+    fixture.owner.submit(at(5001), vm_id{"b"}, statement, fixture.out);
+    const auto results = fixture.owner.take_results();
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_FALSE(results.front().result.answered);
+}
+
 // Load: one organisation sends many statements at once; the other's first one is not behind them.
 TEST(MemberOwner, ServesOrganisationsInTurn) {
     session_fixture fixture;
