Refuse sessions of a stopped VM where all sessions are refused

session_proxy repeated the log line and the refusal of statement_executor::open_session, without its counter. The executor is closed at the stop instead, and open_session refuses with its own line and counts it in sessions_rejected_total. SessionProxy.RefusesSessionsAfterItHasStopped is unchanged.

--- a/include/jackdawvane/sessions/statement_executor.hpp
+++ b/include/jackdawvane/sessions/statement_executor.hpp
@@ -92,6 +92,9 @@
     void leave(time_point now);
     /// @brief Whether all sessions have ended or the time for it is over.
     [[nodiscard]] bool left(time_point now) const noexcept;
+    /// @brief Refuses sessions from now on: the process ends within a moment, and a caller that is
+    /// let in would get no answer.
+    void close() noexcept { closed_ = true; }
     [[nodiscard]] std::size_t sessions() const noexcept { return sessions_.size(); }
     /// @brief Statements that wait for a backend server.
     [[nodiscard]] std::size_t waiting() const noexcept { return waiting_.size(); }
@@ -195,6 +198,7 @@
     time_point due_{};
     time_point next_idle_check_{};
     std::optional<time_point> leaving_since_;
+    bool closed_{false};
 };
 
 } // namespace jackdawvane
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -240,6 +240,7 @@
         return;
     }
     stopped_ = true;
+    executor_.close();
     log(out.common, "proxy", log_level::info,
         "stopped sessions=" + std::to_string(executor_.sessions()));
     observer_.leave(out);
@@ -283,15 +284,6 @@
 // Events.
 
 void session_proxy::on(time_point now, const session_started& what, proxy_output& out) {
-    if (stopped_) {
-        // The process ends within a moment; an accepted caller would get no answer.
-        log(out.common, "session", log_level::info,
-            "rejected session=" + std::to_string(what.session.value()) +
-                " database=" + what.database.str() + " reason=\"this VM has stopped\"");
-        out.sessions.emplace_back(
-            reject_session{what.session, statement_error::busy, "this VM has stopped"});
-        return;
-    }
     executor_.on(now, what, out);
 }
 
--- a/src/core/sessions/statement_executor.cpp
+++ b/src/core/sessions/statement_executor.cpp
@@ -30,7 +30,7 @@
 
 void statement_executor::on(time_point now, const session_started& what, proxy_output& out) {
     const auto key = digest_of(what.key);
-    if (state_.configuration) {
+    if (state_.configuration || closed_) {
         open_session(now, what.session, what.database, key, out);
     } else {
         starts_[what.session] = {what.database, key, now};
@@ -62,7 +62,9 @@
     session.database = database;
     session.key = key;
     session.last_activity = now;
-    if (const auto problem = select_route(session)) {
+    const auto problem =
+        closed_ ? refusal{statement_error::busy, "this VM has stopped"} : select_route(session);
+    if (problem) {
         log(out.common, "session", log_level::info,
             "rejected session=" + std::to_string(id.value()) + " database=" + database.str() +
                 " reason=\"" + problem->detail + "\"");
