Share tick timer, connection metrics and process identity between the daemons

asio_host and proxy_host had the same tick timer, and the two programs the same metrics of store calls and connections, incarnation and seed. They are now detail::tick_timer, diagnostics::report, present_incarnation and random_seed. Nothing else changes.

--- a/include/jackdawvane/adapters/asio_host.hpp
+++ b/include/jackdawvane/adapters/asio_host.hpp
@@ -15,6 +15,10 @@
 
 namespace jackdawvane {
 
+namespace detail {
+class tick_timer;
+} // namespace detail
+
 /// @brief Drives a node on an io_context: feeds events and time, carries the actions out.
 ///
 /// Not movable; adapters refer to it through `sink()`.
@@ -43,19 +47,15 @@
     [[nodiscard]] static time_point now();
 
   private:
-    struct timer;
-
     void handle_pending();
     void handle_one(const event& input);
-    void schedule_tick(time_point present);
 
     node_interface& node_;
     std::function<void()> on_stopped_;
-    std::unique_ptr<timer> timer_;
+    std::unique_ptr<detail::tick_timer> timer_;
     std::unique_ptr<action_dispatcher> dispatcher_;
     std::deque<event> pending_;
     actions batch_;
-    time_point scheduled_{no_deadline};
     bool handling_{false};
 };
 
--- a/include/jackdawvane/adapters/proxy_host.hpp
+++ b/include/jackdawvane/adapters/proxy_host.hpp
@@ -14,6 +14,10 @@
 
 namespace jackdawvane {
 
+namespace detail {
+class tick_timer;
+} // namespace detail
+
 /// @brief Makes the promotion calls of a proxy.
 class promotion_port {
   public:
@@ -59,18 +63,14 @@
     [[nodiscard]] static time_point now();
 
   private:
-    struct timer;
-
     void handle_one(const proxy_event& input);
-    void schedule_tick(time_point present);
 
     session_proxy& proxy_;
     std::function<void()> on_stopped_;
-    std::unique_ptr<timer> timer_;
+    std::unique_ptr<detail::tick_timer> timer_;
     std::unique_ptr<proxy_port_set> ports_;
     std::deque<proxy_event> pending_;
     proxy_output batch_;
-    time_point scheduled_{no_deadline};
     bool handling_{false};
     bool stopped_{false};
 };
--- a/src/adapters/asio_host.cpp
+++ b/src/adapters/asio_host.cpp
@@ -1,8 +1,6 @@
 #include "jackdawvane/adapters/asio_host.hpp"
 
-#include <algorithm>
-
-#include "asio_types.hpp"
+#include "tick_timer.hpp"
 
 namespace jackdawvane {
 
@@ -15,14 +13,12 @@
 
 } // namespace
 
-struct asio_host::timer {
-    explicit timer(boost::asio::io_context& context) : wait{context.get_executor()} {}
-    detail::steady_timer wait;
-};
-
 asio_host::asio_host(boost::asio::io_context& context, node_interface& node,
                      std::function<void()> on_stopped)
-    : node_{node}, on_stopped_{std::move(on_stopped)}, timer_{std::make_unique<timer>(context)} {}
+    : node_{node}, on_stopped_{std::move(on_stopped)}, timer_{std::make_unique<detail::tick_timer>(
+                                                           context, shortest_tick_distance,
+                                                           longest_tick_distance,
+                                                           [this] { deliver(timer_tick{}); })} {}
 
 asio_host::~asio_host() = default;
 
@@ -49,7 +45,7 @@
     handle_one(input);
     handle_pending();
     handling_ = false;
-    schedule_tick(now());
+    timer_->schedule(now(), node_.next_deadline());
     if (dispatcher_->stopped() && on_stopped_) {
         std::exchange(on_stopped_, nullptr)();
     }
@@ -69,22 +65,4 @@
     dispatcher_->dispatch(batch_);
 }
 
-// The timer stays as it is when it is due early enough: most events don't change the deadline.
-void asio_host::schedule_tick(time_point present) {
-    const auto due = std::clamp(node_.next_deadline(), present + shortest_tick_distance,
-                                present + longest_tick_distance);
-    if (due >= scheduled_) {
-        return;
-    }
-    scheduled_ = due;
-    timer_->wait.expires_after(due - present);
-    timer_->wait.async_wait([this](detail::error_code failure) {
-        if (failure) {
-            return;
-        }
-        scheduled_ = no_deadline;
-        deliver(timer_tick{});
-    });
-}
-
 } // namespace jackdawvane
--- a/src/adapters/proxy_host.cpp
+++ b/src/adapters/proxy_host.cpp
@@ -2,10 +2,9 @@
 
 #include <utility>
 
-#include <algorithm>
 #include <ctime>
 
-#include "asio_types.hpp"
+#include "tick_timer.hpp"
 
 namespace jackdawvane {
 
@@ -49,14 +48,12 @@
 
 } // namespace
 
-struct proxy_host::timer {
-    explicit timer(boost::asio::io_context& context) : wait{context.get_executor()} {}
-    detail::steady_timer wait;
-};
-
 proxy_host::proxy_host(boost::asio::io_context& context, session_proxy& proxy,
                        std::function<void()> on_stopped)
-    : proxy_{proxy}, on_stopped_{std::move(on_stopped)}, timer_{std::make_unique<timer>(context)} {}
+    : proxy_{proxy}, on_stopped_{std::move(on_stopped)},
+      timer_{std::make_unique<detail::tick_timer>(context, shortest_tick_distance,
+                                                  longest_tick_distance,
+                                                  [this] { deliver(timer_tick{}); })} {}
 
 proxy_host::~proxy_host() = default;
 
@@ -86,7 +83,7 @@
         handle_one(next);
     }
     handling_ = false;
-    schedule_tick(now());
+    timer_->schedule(now(), proxy_.next_deadline());
     if (stopped_ && on_stopped_) {
         std::exchange(on_stopped_, nullptr)();
     }
@@ -103,21 +100,4 @@
     }
 }
 
-void proxy_host::schedule_tick(time_point present) {
-    const auto due = std::clamp(proxy_.next_deadline(), present + shortest_tick_distance,
-                                present + longest_tick_distance);
-    if (due >= scheduled_) {
-        return;
-    }
-    scheduled_ = due;
-    timer_->wait.expires_after(due - present);
-    timer_->wait.async_wait([this](detail::error_code failure) {
-        if (failure) {
-            return;
-        }
-        scheduled_ = no_deadline;
-        deliver(timer_tick{});
-    });
-}
-
 } // namespace jackdawvane
--- a/src/programs/jackdawvaned/daemon.cpp
+++ b/src/programs/jackdawvaned/daemon.cpp
@@ -6,12 +6,12 @@
 #include "jackdawvane/adapters/diagnostics.hpp"
 #include "jackdawvane/adapters/http_server.hpp"
 #include "jackdawvane/adapters/peer_port_adapter.hpp"
+#include "jackdawvane/adapters/process_identity.hpp"
 #include "jackdawvane/adapters/store_port_adapter.hpp"
 
 #include <utility>
 
 #include <chrono>
-#include <random>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -23,17 +23,6 @@
 // Lets the last messages to other VMs leave the process.
 constexpr auto exit_delay = std::chrono::milliseconds{100};
 
-vm_incarnation present_incarnation() {
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch);
-    return vm_incarnation{static_cast<std::uint64_t>(milliseconds.count())};
-}
-
-std::uint64_t random_seed() {
-    std::random_device device;
-    return std::uniform_int_distribution<std::uint64_t>{}(device);
-}
-
 http_server_settings caller_server_settings(const daemon_settings& settings) {
     http_server_settings server;
     server.listen = {settings.address, settings.caller_port};
@@ -78,22 +67,7 @@
 
     std::string metrics_text() {
         peers.traffic().report(observed);
-        const auto calls = store.calls();
-        observed.measure({metric_kind::counter,
-                          "store_calls_total",
-                          "",
-                          {},
-                          static_cast<double>(calls - std::exchange(reported_calls, calls))});
-        observed.measure({metric_kind::gauge,
-                          "caller_connections",
-                          "",
-                          {},
-                          static_cast<double>(server.connections())});
-        observed.measure({metric_kind::gauge,
-                          "backend_connections",
-                          "",
-                          {},
-                          static_cast<double>(backends.connections())});
+        observed.report({store.calls(), server.connections(), backends.connections()});
         return observed.metrics().text();
     }
 
@@ -119,7 +93,6 @@
     store_port_adapter store;
     caller_api api;
     boost::asio::steady_timer exit_timer;
-    std::uint64_t reported_calls{0};
 };
 
 entry_daemon::entry_daemon(boost::asio::io_context& context, const daemon_settings& settings,
