--- a/src/programs/jackdawvane-link.cpp
+++ b/src/programs/jackdawvane-link.cpp
@@ -1,6 +1,5 @@
 #include "standins/common/program.hpp"
 #include "standins/jackdawvane-link/link_server.hpp"
-#include <docopt/docopt.h>
 
 namespace {
 
@@ -22,12 +21,5 @@
 
 int main(int argc, char** argv) {
     using namespace jackdawvane::standin;
-    return guarded_main("jackdawvane-link", [&] {
-        auto options = docopt::docopt(usage, {argv + 1, argv + argc}, true, version_text);
-        const auto settings = read_settings<link_settings>(options["--settings"].asString());
-        asio::io_context io{1};
-        link_server server{io, settings};
-        run_until_signal(io);
-        return 0;
-    });
+    return serve_settings_file<link_settings, link_server>("jackdawvane-link", usage, argc, argv);
 }
--- a/src/programs/jackdawvane-platform.cpp
+++ b/src/programs/jackdawvane-platform.cpp
@@ -1,6 +1,5 @@
 #include "standins/common/program.hpp"
 #include "standins/jackdawvane-platform/platform_server.hpp"
-#include <docopt/docopt.h>
 
 namespace {
 
@@ -21,12 +20,6 @@
 
 int main(int argc, char** argv) {
     using namespace jackdawvane::standin;
-    return guarded_main("jackdawvane-platform", [&] {
-        auto options = docopt::docopt(usage, {argv + 1, argv + argc}, true, version_text);
-        const auto settings = read_settings<platform_settings>(options["--settings"].asString());
-        asio::io_context io{1};
-        platform_server server{io, settings};
-        run_until_signal(io);
-        return 0;
-    });
+    return serve_settings_file<platform_settings, platform_server>("jackdawvane-platform", usage,
+                                                                   argc, argv);
 }
--- a/src/standins/common/program.hpp
+++ b/src/standins/common/program.hpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "standins/common/asio.hpp"
+#include <docopt/docopt.h>
 
 namespace jackdawvane::standin {
 
@@ -61,4 +62,18 @@
     }
 }
 
+/// @brief Main function of a program that serves as its settings file says until a signal.
+/// @param usage docopt text with the option `--settings FILE`
+template <class Settings, class Server>
+int serve_settings_file(const char* name, const char* usage, int argc, char** argv) {
+    return guarded_main(name, [&] {
+        auto options = docopt::docopt(usage, {argv + 1, argv + argc}, true, version_text);
+        const auto settings = read_settings<Settings>(options["--settings"].asString());
+        asio::io_context io{1};
+        Server server{io, settings};
+        run_until_signal(io);
+        return 0;
+    });
+}
+
 } // namespace jackdawvane::standin
--- a/tools/soak_judge.py
+++ b/tools/soak_judge.py
@@ -14,6 +14,11 @@
     return int(term), int(number)
 
 
+def unit_of(entry):
+    """What commits together: a transaction, or a statement of its own."""
+    return entry['session'], entry['transaction'] or entry['id']
+
+
 class Evidence:
     """What callers and backend servers saw, indexed."""
 
@@ -23,6 +28,9 @@
         self.operations = [each for caller in callers for each in caller.operations]
         self.runs = [run for run in record['runs'] if not run['id'].startswith('0384')]
         self.promotions = record['promotions']
+        self.by_transaction = collections.defaultdict(list)
+        for entry in self.sent.values():
+            self.by_transaction[unit_of(entry)].append(entry)
         self.by_id = collections.defaultdict(list)
         for run in self.runs:
             self.by_id[run['id']].append(run)
@@ -108,10 +116,7 @@
     for name, count in evidence.kept.items():
         if count > 1:
             yield f'twice: {name} took effect {count} times'
-    by_transaction = collections.defaultdict(list)
-    for entry in evidence.sent.values():
-        by_transaction[entry['session'], entry['transaction'] or entry['id']].append(entry)
-    for entries in by_transaction.values():
+    for entries in evidence.by_transaction.values():
         effective = [each['id'] for each in entries
                      if each['id'] in evidence.kept or each['id'] in evidence.rolled_back]
         last = entries[-1]
@@ -128,12 +133,8 @@
 def stale(evidence):
     """STALE: a read on a log without a commit that it had to show."""
     acknowledged = collections.defaultdict(list)   # group -> (time, place, session)
-    by_transaction = collections.defaultdict(list)
-    for entry in evidence.sent.values():
-        by_transaction[entry['session'], entry['transaction'] or entry['id']].append(entry)
-    begun = {key: entries[0]['sent'] for key, entries in by_transaction.items()}
     group_of = {'orders': 'ledger', 'catalogue': 'ledger', 'stock': 'parts'}
-    for entries in by_transaction.values():
+    for entries in evidence.by_transaction.values():
         last = entries[-1]
         if last['error'] == '':
             for each in entries:
@@ -153,7 +154,7 @@
         run = evidence.run_of(entry) if entry['error'] == '' and entry['rows'] else None
         if run is None or entry['route'] not in group_of:
             continue
-        start = begun[entry['session'], entry['transaction'] or entry['id']]
+        start = evidence.by_transaction[unit_of(entry)][0]['sent']
         times, places = newest.get(group_of[entry['route']], ([], []))
         at = bisect.bisect_left(times, start - STALENESS_S[entry['route']])
         needed = places[at - 1] if at else (0, 0)
