--- a/include/jackdawvane/configuration/configuration_rules.hpp
+++ b/include/jackdawvane/configuration/configuration_rules.hpp
@@ -56,7 +56,7 @@
 /// @brief Edit that takes @a edit back; conflicts when its rows have changed since.
 [[nodiscard]] configuration_edit inverse(const configuration_edit& edit, edit_id id);
 
-/// @brief Names of the tables that rows can be changed in.
+/// @brief Names of the tables whose rows operators edit.
 [[nodiscard]] const std::vector<std::string>& table_names();
 
 /// @brief JSON of one row; nothing when the table or row does not exist.
--- a/include/jackdawvane/limits/share_ledger.hpp
+++ b/include/jackdawvane/limits/share_ledger.hpp
@@ -23,7 +23,8 @@
 struct share_settings {
     duration refresh{std::chrono::seconds{90}};           ///< Mean time between record reads.
     duration join_spread{std::chrono::milliseconds{300}}; ///< Spreads joins to avoid conflicts.
-    duration join_settle{0}; ///< A VM that is not in the record joins when it was a target so long.
+    /// A VM without an entry in the record joins once the targets have not changed for this time.
+    duration join_settle{0};
     duration takeover_step{std::chrono::seconds{2}}; ///< Wait per rank for shared work.
     /// A VM that is no target any more gives its part back after this time. Other VMs do not ask
     /// it for tokens, so its part is out of use meanwhile.
--- a/include/jackdawvane/routing/request_executor.hpp
+++ b/include/jackdawvane/routing/request_executor.hpp
@@ -44,7 +44,7 @@
     [[nodiscard]] virtual result<organisation_id> authenticate(const std::string& key) const = 0;
     /// @brief Whether this failure domain is cut off from the store and all other domains.
     [[nodiscard]] virtual bool isolated(time_point now) const = 0;
-    /// @brief Asks the rate limit; a pending verdict is followed by @ref
+    /// @brief Takes a token of the organisation's rate; a pending verdict is followed by @ref
     /// request_executor::on_admission.
     [[nodiscard]] virtual admission admit(time_point now, caller_id caller,
                                           const organisation_id& organisation, time_point deadline,
