--- a/include/jackdawvane/foundation/types.hpp
+++ b/include/jackdawvane/foundation/types.hpp
@@ -61,6 +61,8 @@
 using group_id = basic_id<struct group_id_tag>;
 using pool_name = basic_id<struct pool_name_tag>;
 using route_name = basic_id<struct route_name_tag>;
+/// @brief Organisations whose rates are divided among the same VMs in the same parts.
+using share_group_id = basic_id<struct share_group_id_tag>;
 /// @brief Name that the caller gives to a non-idempotent request (idempotency key).
 using request_name = basic_id<struct request_name_tag>;
 /// @brief Identifies one edit of the configuration, chosen by the operator's client.
--- a/include/jackdawvane/limits/organisation_limiter.hpp
+++ b/include/jackdawvane/limits/organisation_limiter.hpp
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "jackdawvane/configuration/configuration.hpp"
-#include "jackdawvane/limits/admission.hpp"
-#include "jackdawvane/limits/share_ledger.hpp"
+#include "jackdawvane/limits/limiter_context.hpp"
+#include "jackdawvane/limits/share_group.hpp"
 #include "jackdawvane/limits/token_bucket.hpp"
 #include "jackdawvane/limits/token_donors.hpp"
 #include "jackdawvane/node/peer.hpp"
@@ -11,67 +10,29 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
-#include <limits>
 #include <map>
-#include <optional>
 #include <vector>
 
 namespace jackdawvane {
 
-/// @brief Settings of the rate limiter.
-struct rate_limiter_settings {
-    duration pending{std::chrono::milliseconds{50}}; ///< Longest wait for tokens of other VMs.
-    duration joining{
-        std::chrono::milliseconds{50}}; ///< As `pending`, before the share is confirmed.
-    /// Whether a request may also wait for the own share to refill.
-    bool waits_for_own_share{false};
-    duration grant_validity{std::chrono::milliseconds{150}}; ///< Grants are accepted this long.
-    duration lease{std::chrono::seconds{30}};
-    duration lease_renewal{std::chrono::seconds{10}};
-    duration share_interval{std::chrono::seconds{1}}; ///< Between requests for more rate.
-    std::uint32_t holders_per_domain{3};
-    std::uint32_t most_holders{std::numeric_limits<std::uint32_t>::max()}; ///< Over all domains.
-    double messages_per_second{30}; ///< Token requests in vain per organisation; bounds overload.
-    share_settings shares;
-
-    static constexpr auto fields() {
-        using self = rate_limiter_settings;
-        return std::tuple{field("pending_us", &self::pending),
-                          field("joining_us", &self::joining),
-                          field("waits_for_own_share", &self::waits_for_own_share),
-                          field("grant_validity_us", &self::grant_validity),
-                          field("lease_us", &self::lease),
-                          field("lease_renewal_us", &self::lease_renewal),
-                          field("share_interval_us", &self::share_interval),
-                          field("holders_per_domain", &self::holders_per_domain),
-                          field("most_holders", &self::most_holders),
-                          field("messages_per_second", &self::messages_per_second),
-                          field("shares", &self::shares)};
-    }
-};
-
-/// @brief What the limiters of all organisations at one VM have in common.
-struct limiter_context : share_context {
-    location place;
-    rate_limiter_settings limits;
-    std::vector<admission> decisions; ///< Results of pending requests, not yet handed out.
-};
-
 /// @brief Admits the requests of one organisation at this VM.
 ///
 /// A request takes a token of the own share, or waits for tokens of other holders. The bucket's
 /// capacity follows the ledger before any other use, so it never exceeds the own part.
 class organisation_limiter {
   public:
+    /// @param group what this VM and the others hold of the rate; outlives this object
     /// @param context outlives this object
-    organisation_limiter(organisation_id organisation, limiter_context& context);
+    /// @param started since when this VM has had the organisation's row
+    organisation_limiter(organisation_id organisation, share_group& group, limiter_context& context,
+                         time_point started);
 
-    void configure(time_point now, revision newer, const organisation_row& row, actions& out);
-    /// @brief The organisation has no row any more: gives the share back, refuses everything.
-    void retire(time_point now, actions& out);
-    /// @brief The fleet in the context has changed.
-    void fleet_changed(time_point now, actions& out);
+    /// @brief Sets the organisation's rate and burst over the whole fleet.
+    void configure(time_point now, share_limits whole, actions& out);
+    /// @brief The organisation has no row any more: refuses what waits.
+    void retire(time_point now);
+    /// @brief The own part or the other holders have changed.
+    void share_changed(time_point now, actions& out);
 
     [[nodiscard]] admission admit(time_point now, request_id handle, time_point deadline,
                                   actions& out);
@@ -82,18 +43,18 @@
     void on_peer(time_point now, const vm_id& from, const token_grant& message, actions& out);
     void on_peer(time_point now, const vm_id& from, const token_acknowledgement& message,
                  actions& out);
-    void on_peer(time_point now, const vm_id& from, const share_request& message, actions& out);
-    void on_peer(time_point now, const vm_id& from, const share_notice& message, actions& out);
-    [[nodiscard]] bool on_store(time_point now, const store_answer& answer, actions& out);
+    /// @brief Part of the whole rate that the demand here leaves over.
+    [[nodiscard]] double spare_fraction(time_point now) const;
+    /// @brief Part of the whole rate that the asker of @a message lacks.
+    [[nodiscard]] double lacking_fraction(const share_request& message) const noexcept;
 
-    void paused(time_point now, actions& out);
-    void leave(time_point now, actions& out);
     void tick(time_point now, actions& out);
     [[nodiscard]] time_point next_deadline(time_point now) const;
 
-    [[nodiscard]] const share_ledger& ledger() const noexcept { return ledger_; }
+    [[nodiscard]] const share_ledger& ledger() const noexcept { return group_.ledger(); }
     [[nodiscard]] const token_bucket& bucket() const noexcept { return bucket_; }
-    [[nodiscard]] bool configured() const noexcept { return row_.has_value(); }
+    /// @brief Rate and burst that this VM may use while its share is verified.
+    [[nodiscard]] share_limits usable() const noexcept;
     /// @brief Requests per second that arrive here, averaged over some seconds.
     [[nodiscard]] double demand(time_point now) const noexcept;
     [[nodiscard]] Json::Value describe(time_point now) const;
@@ -107,8 +68,16 @@
         double amount{0};
         time_point expiry;
     };
+    /// Less than a token, granted to a VM that cannot store it. The donor keeps the capacity
+    /// reserved until the parts that make a token are acknowledged.
+    struct partial_grant {
+        vm_id donor;
+        request_id id;
+        double amount{0};
+        time_point expiry;
+    };
 
-    void follow_ledger(time_point now);
+    void follow_share(time_point now);
     void take_inheritance(time_point now);
     void update(time_point now, actions& out);
     void serve(time_point now);
@@ -118,39 +87,38 @@
                       double ahead, actions& out);
     void refuse_hopeless(time_point now);
     void settle_expired(time_point now);
+    void spend_partial_grants(time_point now, actions& out);
+    void drop_partial_grants(actions& out);
+    [[nodiscard]] double partial_sum() const noexcept;
+    void acknowledge(const vm_id& donor, request_id id, actions& out) const;
     void consider_share_request(time_point now, actions& out);
     void note_arrival(time_point now);
     void decide(admission_state state, request_id handle, time_point now);
     [[nodiscard]] bool take(time_point now);
     [[nodiscard]] double free_tokens(time_point now) const;
-    [[nodiscard]] std::uint32_t spare_part(time_point now, const share_request& wanted) const;
     [[nodiscard]] error refusal(time_point now) const;
-    [[nodiscard]] std::vector<token_donors::candidate> candidates() const;
-    [[nodiscard]] token_donors::candidate candidate(const vm_entry& vm) const;
     [[nodiscard]] bool uses_share() const noexcept;
-    [[nodiscard]] std::vector<vm_id> chosen_holders() const;
     [[nodiscard]] time_point own_chance(time_point now) const;
     [[nodiscard]] time_point last_wait() const noexcept;
 
     organisation_id organisation_;
+    share_group& group_;
     limiter_context& context_;
-    share_ledger ledger_;
+    share_limits whole_; ///< Over the whole fleet.
     token_bucket bucket_;
     token_donors donors_;
-    token_bucket messages_; ///< Token requests that may still be sent in vain.
-    std::optional<organisation_row> row_;
-    std::deque<waiter> waiting_;
+    token_bucket messages_;       ///< Token requests that may still be sent in vain.
+    std::vector<waiter> waiting_; ///< Oldest first.
     std::map<std::pair<vm_id, request_id>, transit> transits_;
-    std::vector<token_donors::candidate> candidates_;
+    std::vector<partial_grant> partial_grants_;
 
-    time_point started_{}; ///< When the organisation was configured here.
+    time_point started_;
     bool inheritance_taken_{false};
     double demand_{0};
     time_point demand_at_{};
     bool short_of_tokens_{false}; ///< Asked for tokens since the last share request.
     time_point short_at_{-std::chrono::hours{1}}; ///< When a request last found no token here.
     time_point share_request_at_{};
-    time_point last_gift_{};
 };
 
 } // namespace jackdawvane
--- a/include/jackdawvane/limits/rate_limiter.hpp
+++ b/include/jackdawvane/limits/rate_limiter.hpp
@@ -1,17 +1,25 @@
 #pragma once
 
+#include "jackdawvane/configuration/configuration.hpp"
 #include "jackdawvane/limits/organisation_limiter.hpp"
 
+#include <utility>
+
 #include <cstdint>
 #include <map>
 #include <set>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 namespace jackdawvane {
 
 /// @brief Enforces the organisations' fleet-wide rates at one VM.
 ///
+/// The organisations are divided into groups. A VM holds parts of a few groups, has limiters for
+/// the organisations of these and for those that its callers belong to, and touches only the
+/// limiters that an event concerns.
+///
 /// After every call the host side takes the results of pending requests with `take_decisions`.
 class rate_limiter {
   public:
@@ -60,19 +68,56 @@
     /// @brief When `tick` is due; depends on the time of the last event.
     [[nodiscard]] time_point next_deadline() const;
 
-    /// @brief Limiter of @a organisation, or null.
+    /// @brief Limiter of @a organisation, or null when neither callers nor a share needed it yet.
     [[nodiscard]] const organisation_limiter* find(const organisation_id& organisation) const;
+    /// @brief Group of @a organisation, or null when none of its group is in the configuration.
+    [[nodiscard]] const share_group* find_group(const organisation_id& organisation) const;
     /// @brief Shares and tokens per organisation, as of the last event.
     [[nodiscard]] Json::Value describe() const;
 
   private:
+    struct group_state;
+    struct organisation_state {
+        organisation_limiter limiter;
+        group_state& group;
+        time_point due{no_deadline}; ///< Its entry in `organisations_due_`.
+    };
+    struct group_state {
+        share_group share;
+        std::vector<organisation_state*> members; ///< Those with a limiter here.
+        std::size_t configured{0};                ///< Organisations in the configuration.
+        time_point due{no_deadline};
+    };
+
     void finish_renewal(time_point now, store_status status, actions& out);
     void renew_lease(time_point now, actions& out);
     [[nodiscard]] bool needs_lease() const noexcept;
 
+    group_state& group_of(const organisation_id& organisation);
+    organisation_state* obtain(time_point now, const organisation_id& organisation,
+                               time_point started, actions& out);
+    void remove(time_point now, const organisation_id& organisation);
+    void settle(time_point now, group_state& group, actions& out);
+    void settle_all(time_point now, actions& out);
+    void create_held(time_point now, group_state& group, time_point started, actions& out);
+    void reschedule(time_point now, organisation_state& entry);
+    [[nodiscard]] std::uint32_t spare_part(time_point now, const group_state& group,
+                                           double lacking) const;
+    void take(time_point now, const vm_id& from, const share_request& message, actions& out);
+    void take(time_point now, const vm_id& from, const share_notice& message, actions& out);
+    template <class Message>
+    void take(time_point now, const vm_id& from, const Message& message, actions& out);
+
     limiter_context context_;
-    std::map<organisation_id, organisation_limiter> organisations_;
+    std::unordered_map<organisation_id, share_limits> rows_;
+    std::map<share_group_id, group_state> groups_;
+    std::map<organisation_id, organisation_state> organisations_;
+    std::set<std::pair<time_point, organisation_state*>> organisations_due_;
+    std::map<request_id, organisation_state*> pending_; ///< Requests without a decision.
+    time_point groups_due_{no_deadline};
+    bool holder_{false}; ///< Whether this VM holds a part of any group.
     revision revision_;
+    time_point configured_at_{}; ///< When the first configuration came.
     time_point now_{};
     time_point lease_at_{};
     request_id lease_call_;
--- a/include/jackdawvane/limits/share_ledger.hpp
+++ b/include/jackdawvane/limits/share_ledger.hpp
@@ -46,7 +46,7 @@
     }
 };
 
-/// @brief What the ledgers of all organisations at one VM have in common.
+/// @brief What the ledgers of all share groups at one VM have in common.
 struct share_context {
     vm_id self;
     vm_incarnation incarnation;
@@ -58,7 +58,7 @@
     bool lease_renewed{false};      ///< Since the last pause past the lease.
 };
 
-/// @brief This VM's view of one organisation's share record, and its changes to it.
+/// @brief This VM's view of one group's share record, and its changes to it.
 ///
 /// Why the used parts never exceed the whole: the record's parts sum to at most the whole. A
 /// holder uses at most the part in the last record that it has seen, and at most its part in each
@@ -71,18 +71,16 @@
 /// first, the reclaimer's fails and its next look at the lease finds it renewed. Reading alone
 /// would not do: the reclaimer's write could follow the holder's read.
 ///
-/// Why the used rates never exceed the rate: a holder uses its part of the record's rate, or of
-/// the configuration's if that is newer and lower. Both are rates of a revision that is at least
-/// as new as the newest that this VM has seen. As the parts sum to at most the whole, the sum is
-/// at most the highest rate among the revisions that some holder still takes for the newest. A
-/// raised rate waits for the record, so that one compare-and-swap puts it in force.
+/// Why the used rates never exceed the rate: a holder uses its part of the rate in the newest
+/// configuration that it has seen. As the parts sum to at most the whole, the sum is at most the
+/// highest rate among the revisions that some holder still takes for the newest.
 class share_ledger {
   public:
     /// @param context outlives this object
-    share_ledger(organisation_id organisation, share_context& context);
+    share_ledger(share_group_id group, share_context& context);
 
-    /// @brief Applies the organisation's row of the configuration revision @a newer.
-    void configure(time_point now, jackdawvane::revision newer, share_limits limits, actions& out);
+    /// @brief The group has organisations in the configuration.
+    void activate(time_point now, actions& out);
 
     /// @brief VMs that shall hold shares; the fleet in the context may have changed as well.
     void set_targets(time_point now, std::vector<vm_id> targets, actions& out);
@@ -108,10 +106,8 @@
 
     /// @brief Part that this VM may use while `verified`.
     [[nodiscard]] std::uint32_t usable_part() const noexcept;
-    /// @brief Fleet-wide limits as this VM has to apply them now.
-    [[nodiscard]] share_limits limits() const noexcept;
-    /// @brief Rate and burst that this VM may use while `verified`.
-    [[nodiscard]] share_limits usable() const noexcept;
+    /// @brief The same as a fraction of the whole.
+    [[nodiscard]] double usable_fraction() const noexcept;
 
     /// @brief Whether this VM is a holder in the last record that it has seen.
     [[nodiscard]] bool holder() const noexcept;
@@ -160,7 +156,6 @@
     [[nodiscard]] bool place_self(time_point now, share_record& next) const;
     [[nodiscard]] bool remove_reclaimed(share_record& next) const;
     [[nodiscard]] bool apply_transfer(share_record& next) const;
-    [[nodiscard]] bool limits_outdated() const noexcept;
     [[nodiscard]] bool all_targets_joined(const share_record& record) const;
     [[nodiscard]] bool superseded() const noexcept;
     [[nodiscard]] bool wanted(time_point now) const noexcept;
@@ -170,17 +165,17 @@
     [[nodiscard]] const share_holder* own_entry() const noexcept;
     [[nodiscard]] const share_holder* lease_to_check() const;
     [[nodiscard]] std::vector<vm_id> affected_by(const share_record& next) const;
+    [[nodiscard]] std::vector<vm_id> strays() const;
     [[nodiscard]] duration takeover_delay();
     [[nodiscard]] duration random_part(duration longest);
     void schedule_shared_work(time_point now);
     void notify(const std::vector<vm_id>& vms, actions& out) const;
     void report(actions& out, std::string text, log_level level = log_level::info) const;
 
-    organisation_id organisation_;
+    share_group_id group_;
     share_context& context_;
 
-    revision configured_revision_;
-    share_limits configured_;
+    bool active_{false};
     std::vector<vm_id> targets_;
     bool leaving_{false};
 
@@ -204,13 +199,13 @@
     time_point retry_at_{};
     duration retry_delay_{0};
     time_point refresh_at_{no_deadline};
-    time_point first_read_at_{}; ///< First read of a VM that is not involved.
     time_point join_at_{};
     time_point first_join_at_{}; ///< As `join_at_`, for a VM that has no entry in the record.
     time_point drained_at_{no_deadline}; ///< When the unwanted own part may be given back.
     time_point untargeted_since_{no_deadline};
     time_point incomplete_since_{no_deadline}; ///< Since when a target has not joined.
-    time_point shared_work_at_{no_deadline};   ///< Rewriting limits, distribution.
+    time_point shared_work_at_{no_deadline};   ///< Distribution of what is unassigned.
+    time_point stray_notice_at_{no_deadline};  ///< Notice to holders that are no targets.
     time_point lease_check_at_{no_deadline};
 };
 
--- a/include/jackdawvane/limits/share_record.hpp
+++ b/include/jackdawvane/limits/share_record.hpp
@@ -15,7 +15,7 @@
 /// Parts are whole numbers so that their sum is exact after any number of moves.
 inline constexpr std::uint32_t whole_share = 1'000'000;
 
-/// @brief VM incarnation that holds a part of an organisation's rate and burst.
+/// @brief VM incarnation that holds a part of the rates and bursts of a group's organisations.
 struct share_holder {
     vm_id vm;
     vm_incarnation incarnation;
@@ -37,21 +37,16 @@
     friend bool operator==(const share_limits&, const share_limits&) = default;
 };
 
-/// @brief Record under `shares/<organisation>` in the store.
+/// @brief Record under `shares/<group>` in the store.
+///
+/// It names no organisation, so the number of records and of store calls does not depend on how
+/// many there are.
 struct share_record {
-    jackdawvane::revision revision; ///< Configuration that `rate` and `burst` are from.
-    double rate{0};
-    double burst{0};
     std::vector<share_holder> holders;
 
-    static constexpr auto fields() {
-        return std::tuple{field("revision", &share_record::revision),
-                          field("rate", &share_record::rate), field("burst", &share_record::burst),
-                          field("holders", &share_record::holders)};
-    }
+    static constexpr auto fields() { return std::tuple{field("holders", &share_record::holders)}; }
     friend bool operator==(const share_record&, const share_record&) = default;
 
-    [[nodiscard]] share_limits limits() const noexcept { return {rate, burst}; }
     /// @brief Part that no holder has.
     [[nodiscard]] std::uint32_t unassigned() const noexcept;
     /// @brief Entry of @a vm, whatever its incarnation, or null.
@@ -63,8 +58,14 @@
     void distribute();
 };
 
-/// @brief Store key of the share record of @a organisation.
-[[nodiscard]] std::string share_key(const organisation_id& organisation);
+/// @brief Group of @a organisation when there are @a groups of them.
+///
+/// The id contains the number of groups, so fleets that differ in it use separate records.
+[[nodiscard]] share_group_id share_group_of(const organisation_id& organisation,
+                                            std::uint32_t groups);
+
+/// @brief Store key of the share record of @a group.
+[[nodiscard]] std::string share_key(const share_group_id& group);
 
 /// @brief Store key of the lease of @a vm; the value is the incarnation in decimal digits.
 [[nodiscard]] std::string lease_key(const vm_id& vm);
--- a/include/jackdawvane/limits/token_donors.hpp
+++ b/include/jackdawvane/limits/token_donors.hpp
@@ -21,10 +21,15 @@
     /// @brief VM that may be asked.
     struct candidate {
         vm_id vm;
-        share_limits part;    ///< Its part of rate and burst, as far as known.
+        double fraction{0};   ///< Its part of rate and burst, as far as known.
         double preference{1}; ///< Weight of its estimate; lower for distant VMs.
+
+        friend bool operator==(const candidate&, const candidate&) = default;
     };
 
+    /// @brief Sets the organisation's rate and burst over the whole fleet.
+    void set_limits(share_limits whole) noexcept { whole_ = whole; }
+
     /// @brief Candidate that is likely to have most tokens and may be asked now, or null.
     [[nodiscard]] const candidate* choose(time_point now,
                                           std::span<const candidate> candidates) const;
@@ -51,6 +56,9 @@
     [[nodiscard]] bool granted(time_point now, request_id id, const vm_id& vm, double amount,
                                double left);
 
+    /// @brief Until when a grant of request @a id may be used; the lowest time for an unknown one.
+    [[nodiscard]] time_point expiry_of(request_id id) const;
+
     /// @brief Gives up on requests that got no answer in time.
     void expire(time_point now);
 
@@ -81,6 +89,9 @@
     void back_off(time_point now, donor_state& silent, duration shortest);
     [[nodiscard]] time_point askable_at(time_point now, const candidate& option) const;
 
+    [[nodiscard]] double smallest_estimate(const candidate& option) const noexcept;
+
+    share_limits whole_;
     std::map<vm_id, donor_state> donors_;
     std::map<request_id, open_request> open_;
 };
--- a/include/jackdawvane/membership/membership.hpp
+++ b/include/jackdawvane/membership/membership.hpp
@@ -27,9 +27,14 @@
     std::size_t indirect_probes{2};
     /// Suspicion time of a fleet of up to 9 VMs; it grows with the logarithm of the size.
     duration suspicion{std::chrono::seconds{1}};
+    /// Changes of the live VMs that follow each other are put in force this far apart at least:
+    /// each costs every part a pass over the fleet, and a start of all VMs brings hundreds.
+    duration change_interval{std::chrono::milliseconds{100}};
     /// Interval of extra messages while there is news to spread.
     duration gossip_interval{std::chrono::milliseconds{200}};
     duration list_wait{std::chrono::seconds{30}};
+    /// Between a change of the list and the next call: VMs that start together are one change.
+    duration list_pause{std::chrono::milliseconds{250}};
     duration retry_floor{std::chrono::milliseconds{200}};
     duration retry_ceiling{std::chrono::seconds{2}};
     std::size_t delegates_per_domain{2};
@@ -122,7 +127,7 @@
 
     void start(time_point now, actions& out);
     void event(time_point now);
-    void refresh(actions& out);
+    void refresh(time_point now, actions& out);
     void take_updates(time_point now, const std::vector<member_update>& updates, actions& out);
     void take_update(time_point now, const member_update& update, actions& out);
     void on_ping(time_point now, const vm_id& from, const membership_probe& probe, actions& out);
@@ -156,7 +161,7 @@
     void read_list(time_point now, duration wait, actions& out);
     void list_failed(time_point now);
     void poll_list(time_point now, actions& out);
-    [[nodiscard]] std::size_t delegate_rank() const;
+    [[nodiscard]] std::size_t find_delegate_rank() const;
     [[nodiscard]] bool needs_store_evidence(time_point now) const;
 
     membership_settings settings_;
@@ -167,6 +172,8 @@
     std::uint64_t version_{0};
     revision revision_;
     bool changed_{true};
+    time_point refreshed_at_{time_point::min()}; ///< When `live_` last changed.
+    std::size_t delegate_rank_{0};               ///< Of this VM among the delegates for `live_`.
 
     std::optional<time_point> started_;
     time_point last_event_{};
--- a/include/jackdawvane/membership/placement.hpp
+++ b/include/jackdawvane/membership/placement.hpp
@@ -39,9 +39,13 @@
 [[nodiscard]] std::vector<vm_id> delegates(std::string_view key, const failure_domain_id& domain,
                                            std::span<const vm_entry> live, std::size_t count);
 
-/// @brief Up to @a per_domain VMs of each failure domain that hold shares of @a organisation.
-[[nodiscard]] std::vector<vm_id> share_holders(const organisation_id& organisation,
-                                               std::span<const vm_entry> live,
-                                               std::size_t per_domain);
+/// @brief VMs that hold shares of @a group.
+/// @param live VMs that are believed to be alive; those that are leaving are passed over
+/// @param per_domain VMs of each failure domain
+/// @param most VMs in all
+/// @complexity O(n log n)
+[[nodiscard]] std::vector<vm_id> share_holders(const share_group_id& group,
+                                               std::span<const vm_entry* const> live,
+                                               std::size_t per_domain, std::size_t most);
 
 } // namespace jackdawvane
--- a/include/jackdawvane/node/peer.hpp
+++ b/include/jackdawvane/node/peer.hpp
@@ -310,16 +310,16 @@
     }
 };
 
-/// @brief The share record of an organisation changed.
+/// @brief A share record changed.
 struct share_notice {
     static constexpr const char* method = "share.notice";
-    organisation_id organisation;
+    share_group_id group;
     std::uint64_t version{0}; ///< Store version of the record.
     /// What the store has at that version. Without it the receiver reads the record.
     std::optional<share_record> record;
 
     static constexpr auto fields() {
-        return std::tuple{field("organisation", &share_notice::organisation),
+        return std::tuple{field("group", &share_notice::group),
                           field("version", &share_notice::version),
                           field("record", &share_notice::record)};
     }
--- a/include/jackdawvane/sessions/fleet_state.hpp
+++ b/include/jackdawvane/sessions/fleet_state.hpp
@@ -5,6 +5,7 @@
 #include "jackdawvane/sessions/group_leadership.hpp"
 
 #include <algorithm>
+#include <cstdint>
 #include <memory>
 #include <vector>
 
@@ -13,7 +14,8 @@
 /// @brief What the parts of a session proxy know in common.
 struct fleet_state {
     vm_entry self;
-    std::vector<vm_entry> live; ///< VMs that are believed to be alive.
+    std::vector<vm_entry> live;     ///< VMs that are believed to be alive, sorted by id.
+    std::uint64_t fleet_version{0}; ///< Rises with each change of `live`.
     std::shared_ptr<const configuration_document> configuration;
     backend_directory directory;
     std::map<group_id, group_leadership> leaderships;
@@ -37,9 +39,10 @@
 
     /// @brief Live VM @a vm, or null.
     [[nodiscard]] const vm_entry* find_vm(const vm_id& vm) const {
-        const auto found = std::find_if(live.begin(), live.end(),
-                                        [&](const vm_entry& entry) { return entry.vm == vm; });
-        return found == live.end() ? nullptr : &*found;
+        const auto found = std::lower_bound(
+            live.begin(), live.end(), vm,
+            [](const vm_entry& entry, const vm_id& wanted) { return entry.vm < wanted; });
+        return found == live.end() || found->vm != vm ? nullptr : &*found;
     }
 
     /// @brief Row of @a group, or null.
--- a/include/jackdawvane/sessions/group_observer.hpp
+++ b/include/jackdawvane/sessions/group_observer.hpp
@@ -130,6 +130,8 @@
 
     bool always_active_{false};
     bool active_{false};
+    std::vector<vm_id> ranked_; ///< VMs of this region as observers, first choice first.
+    std::uint64_t ranked_version_{0};
     vm_id observer_; ///< VM of the own region that is asked.
     std::map<vm_id, time_point> silent_since_;
     struct open_query {
--- a/include/jackdawvane/sessions/member_gateway.hpp
+++ b/include/jackdawvane/sessions/member_gateway.hpp
@@ -64,6 +64,10 @@
         vm_id owner;
         backend_server_id backend;
     };
+    struct known_owner {
+        location place;
+        std::optional<vm_id> owner;
+    };
     struct load {
         std::uint32_t running{0};
         duration mean{0};
@@ -71,8 +75,10 @@
         time_point busy_until{time_point::min()};
     };
 
-    [[nodiscard]] std::optional<vm_id> owner_for(time_point now,
-                                                 const backend_server_id& backend) const;
+    [[nodiscard]] std::optional<vm_id> owner_for(time_point now, const backend_server_id& backend);
+    [[nodiscard]] std::optional<vm_id> usual_owner(const backend_server_id& backend,
+                                                   const backend_directory::entry& entry) const;
+    [[nodiscard]] location place_of(const backend_directory::entry& backend) const;
     void give_back(time_point now, const lease_release& release, const vm_id& owner,
                    proxy_output& out);
     void end_attempt(time_point now, const attempt_result& result, bool measure);
@@ -86,6 +92,8 @@
     std::map<backend_server_id, load> loads_;
     std::map<std::pair<vm_id, backend_server_id>, time_point> unreachable_;
     std::vector<attempt_result> results_;
+    mutable std::map<backend_server_id, known_owner> owners_; ///< Cache for `owners_version_`.
+    mutable std::uint64_t owners_version_{0};
 };
 
 } // namespace jackdawvane
--- a/src/core/limits/organisation_limiter.cpp
+++ b/src/core/limits/organisation_limiter.cpp
@@ -1,7 +1,5 @@
 #include "jackdawvane/limits/organisation_limiter.hpp"
 
-#include "jackdawvane/membership/placement.hpp"
-
 #include <algorithm>
 #include <cmath>
 
@@ -25,52 +23,44 @@
 constexpr double ahead_room = 0.4;
 constexpr duration shortest_retry = std::chrono::milliseconds{1};
 constexpr duration longest_retry = std::chrono::seconds{10};
-/// Organisations with a small burst have fewer holders, so that each has this much of it. In
-/// smaller parts the tokens of a small organisation are scattered and requests are refused.
-constexpr double smallest_burst_part = 4;
 /// Longest time before the confirmation of an inherited part for which it has refilled.
 constexpr duration longest_inheritance = std::chrono::seconds{1};
-constexpr double region_preference = 0.8;
-constexpr double distant_preference = 0.5;
 
 } // namespace
 
-organisation_limiter::organisation_limiter(organisation_id organisation, limiter_context& context)
-    : organisation_{std::move(organisation)}, context_{context}, ledger_{organisation_, context} {}
+organisation_limiter::organisation_limiter(organisation_id organisation, share_group& group,
+                                           limiter_context& context, time_point started)
+    : organisation_{std::move(organisation)}, group_{group}, context_{context}, started_{started} {
+    messages_.set_limits(started, context.limits.messages_per_second, message_burst);
+    messages_.add(started, message_burst);
+}
 
-void organisation_limiter::configure(time_point now, revision newer, const organisation_row& row,
-                                     actions& out) {
-    started_ = row_ ? started_ : now;
-    row_ = row;
-    messages_.set_limits(now, context_.limits.messages_per_second, message_burst);
-    ledger_.configure(now, newer, {row.rate, row.burst}, out);
-    fleet_changed(now, out);
+void organisation_limiter::configure(time_point now, share_limits whole, actions& out) {
+    whole_ = whole;
+    donors_.set_limits(whole);
+    update(now, out);
 }
 
-void organisation_limiter::retire(time_point now, actions& out) {
-    row_.reset();
-    leave(now, out);
+void organisation_limiter::retire(time_point now) {
+    for (const auto& each : std::exchange(waiting_, {})) {
+        decide(admission_state::refused, each.handle, now);
+    }
 }
 
-void organisation_limiter::fleet_changed(time_point now, actions& out) {
-    ledger_.set_targets(now, chosen_holders(), out);
-    candidates_ = candidates();
+void organisation_limiter::share_changed(time_point now, actions& out) {
     update(now, out);
 }
 
 admission organisation_limiter::admit(time_point now, request_id handle, time_point deadline,
                                       actions& out) {
     note_arrival(now);
-    follow_ledger(now);
+    follow_share(now);
     serve(now);
-    if (!row_) {
-        return {handle, admission_state::refused, refusal(now)};
-    }
     if (waiting_.empty() && take(now)) {
         return {handle, admission_state::admitted, {error_kind::none, {}, {}}};
     }
     consider_share_request(now, out);
-    const bool joins = ledger_.target() && !uses_share();
+    const bool joins = ledger().target() && !uses_share();
     const auto patience = joins ? context_.limits.joining : context_.limits.pending;
     const auto give_up = std::min(deadline, now + patience);
     if (waiting_.size() >= longest_line || give_up <= now) {
@@ -79,7 +69,7 @@
     }
     waiting_.push_back({handle, give_up});
     ask(now, out);
-    if (donors_.open() == 0 && donors_.next_chance(now, candidates_) > give_up &&
+    if (donors_.open() == 0 && donors_.next_chance(now, group_.candidates()) > give_up &&
         own_chance(now) > give_up) {
         waiting_.pop_back();
         return {handle, admission_state::refused, refusal(now)};
@@ -91,35 +81,18 @@
     std::erase_if(waiting_, [&](const waiter& each) { return each.handle == handle; });
 }
 
-bool organisation_limiter::on_store(time_point now, const store_answer& answer, actions& out) {
-    const bool own = ledger_.on_store(now, answer, out);
-    if (own) {
-        candidates_ = candidates();
-        update(now, out);
-    }
-    return own;
-}
-
-void organisation_limiter::paused(time_point now, actions& out) {
-    ledger_.paused(now, out);
-    update(now, out);
-}
-
-void organisation_limiter::leave(time_point now, actions& out) {
-    ledger_.leave(now, out);
-    update(now, out);
-}
-
 void organisation_limiter::tick(time_point now, actions& out) {
-    ledger_.tick(now, out);
     update(now, out);
 }
 
 time_point organisation_limiter::next_deadline(time_point now) const {
-    auto due = std::min(ledger_.next_deadline(), donors_.next_deadline());
+    auto due = donors_.next_deadline();
     for (const auto& [key, open] : transits_) {
         due = std::min(due, open.expiry);
     }
+    for (const auto& each : partial_grants_) {
+        due = std::min(due, each.expiry);
+    }
     for (const auto& each : waiting_) {
         due = std::min(due, each.deadline);
     }
@@ -127,7 +100,7 @@
         if (uses_share()) {
             due = std::min(due, bucket_.time_of(now, 1));
         }
-        const auto chance = donors_.next_chance(now, candidates_);
+        const auto chance = donors_.next_chance(now, group_.candidates());
         if (chance > now) { // An earlier one was not used for a reason that time does not change.
             due = std::min(due, chance);
         }
@@ -137,37 +110,45 @@
 
 /// Brings everything up to date after an event.
 void organisation_limiter::update(time_point now, actions& out) {
-    follow_ledger(now);
+    follow_share(now);
     take_inheritance(now);
     settle_expired(now);
     donors_.expire(now);
     serve(now);
+    spend_partial_grants(now, out);
     ask(now, out);
     refuse_hopeless(now);
+    if (waiting_.empty()) {
+        drop_partial_grants(out);
+    }
 }
 
-void organisation_limiter::follow_ledger(time_point now) {
-    const auto usable = ledger_.usable();
-    if (usable.rate != bucket_.rate() || usable.burst != bucket_.capacity()) {
-        bucket_.set_limits(now, usable.rate, usable.burst);
-        candidates_ = candidates();
+share_limits organisation_limiter::usable() const noexcept {
+    const double fraction = ledger().usable_fraction();
+    return {whole_.rate * fraction, whole_.burst * fraction};
+}
+
+void organisation_limiter::follow_share(time_point now) {
+    const auto part = usable();
+    if (part.rate != bucket_.rate() || part.burst != bucket_.capacity()) {
+        bucket_.set_limits(now, part.rate, part.burst);
     }
 }
 
 /// The earlier life of this VM ended before this one started; since then its part has refilled.
 void organisation_limiter::take_inheritance(time_point now) {
-    if (inheritance_taken_ || !uses_share() || !ledger_.holder()) {
+    if (inheritance_taken_ || !uses_share() || !ledger().holder()) {
         return;
     }
     inheritance_taken_ = true;
-    if (ledger_.inherited()) {
+    if (ledger().inherited()) {
         const auto refilled = std::min(now - started_, longest_inheritance);
         bucket_.add(now, bucket_.rate() * std::chrono::duration<double>(refilled).count());
     }
 }
 
 bool organisation_limiter::uses_share() const noexcept {
-    return row_.has_value() && ledger_.verified();
+    return ledger().verified();
 }
 
 bool organisation_limiter::take(time_point now) {
@@ -186,7 +167,7 @@
 void organisation_limiter::serve(time_point now) {
     while (!waiting_.empty() && take(now)) {
         decide(admission_state::admitted, waiting_.front().handle, now);
-        waiting_.pop_front();
+        waiting_.erase(waiting_.begin());
     }
 }
 
@@ -199,18 +180,18 @@
         }
         amount = std::max(0.0, amount - 1);
         decide(admission_state::admitted, waiting_.front().handle, now);
-        waiting_.pop_front();
+        waiting_.erase(waiting_.begin());
     }
     bucket_.add(now, amount);
 }
 
 void organisation_limiter::ask(time_point now, actions& out) {
     const bool own = uses_share();
-    double missing = static_cast<double>(waiting_.size()) - donors_.outstanding() -
+    double missing = static_cast<double>(waiting_.size()) - donors_.outstanding() - partial_sum() -
                      (own ? bucket_.tokens(now) : 0);
     const double deficit = std::max(0.0, demand(now) - bucket_.rate());
     while (missing > 0 && donors_.open() < parallel_requests) {
-        const auto* donor = donors_.choose(now, candidates_);
+        const auto* donor = donors_.choose(now, group_.candidates());
         if (donor == nullptr || !messages_.take(now, 1)) {
             return;
         }
@@ -218,8 +199,11 @@
         const double refill = std::max(deficit * ahead_seconds, room * ahead_room);
         const double ahead = own ? std::clamp(refill, 0.0, room / 2) : 0;
         const double likely = donors_.estimate(now, *donor);
+        if (whole_.burst * donor->fraction < 1) {
+            missing = std::max(missing, 1.0); // All that it has: only whole tokens can be used.
+        }
         send_request(now, *donor, missing, ahead, out);
-        missing -= std::max(1.0, likely);
+        missing -= std::max(std::min(1.0, whole_.burst * donor->fraction), likely);
     }
 }
 
@@ -232,7 +216,8 @@
     // Random ids: a delayed grant to an earlier incarnation must not match a request of this one.
     const request_id id{context_.random() >> 1U};
     const auto validity = context_.limits.grant_validity;
-    const double likely = std::max(1.0, donors_.estimate(now, donor));
+    const double likely =
+        std::max(std::min(1.0, whole_.burst * donor.fraction), donors_.estimate(now, donor));
     donors_.asked(id, donor.vm, std::min(missing, likely), now + validity);
     short_of_tokens_ = true;
     short_at_ = now;
@@ -243,7 +228,7 @@
 
 void organisation_limiter::refuse_hopeless(time_point now) {
     const bool hopeless = donors_.open() == 0 &&
-                          donors_.next_chance(now, candidates_) > last_wait() &&
+                          donors_.next_chance(now, group_.candidates()) > last_wait() &&
                           own_chance(now) > last_wait();
     for (std::size_t i = 0; i < waiting_.size();) {
         if (!hopeless && waiting_[i].deadline > now) {
@@ -281,12 +266,12 @@
 }
 
 error organisation_limiter::refusal(time_point now) const {
-    if (!row_ || row_->rate <= 0) {
+    if (whole_.rate <= 0) {
         return {error_kind::rate_exceeded,
                 "organisation " + organisation_.str() + " has no rate in the configuration",
                 longest_retry};
     }
-    auto wait = duration{static_cast<duration::rep>(1e6 / row_->rate)};
+    auto wait = duration{static_cast<duration::rep>(1e6 / whole_.rate)};
     const auto due = uses_share() ? bucket_.time_of(now, 1) : no_deadline;
     if (due != no_deadline) {
         wait = due - now;
@@ -295,58 +280,4 @@
             std::clamp(wait, shortest_retry, longest_retry)};
 }
 
-token_donors::candidate organisation_limiter::candidate(const vm_entry& vm) const {
-    const auto* entry = ledger_.record().find(vm.vm);
-    const auto holders = std::max<std::size_t>(1, ledger_.targets().size());
-    const double equal = 1.0 / static_cast<double>(holders);
-    const double part = entry == nullptr ? equal : static_cast<double>(entry->part) / whole_share;
-    auto limits = ledger_.limits();
-    if (limits.rate <= 0 && row_) {
-        limits = {row_->rate, row_->burst}; // No record read yet: only for the estimate.
-    }
-    double preference{1};
-    if (vm.place.region != context_.place.region) {
-        preference = distant_preference;
-    } else if (vm.place.domain != context_.place.domain) {
-        preference = region_preference;
-    }
-    return {vm.vm, {limits.rate * part, limits.burst * part}, preference};
-}
-
-std::vector<token_donors::candidate> organisation_limiter::candidates() const {
-    std::vector<token_donors::candidate> all;
-    for (const auto& [vm, entry] : context_.live) {
-        const auto& targets = ledger_.targets();
-        const bool listed = std::find(targets.begin(), targets.end(), vm) != targets.end();
-        const bool holds = ledger_.record().find(vm) != nullptr;
-        if (vm != context_.self && (listed || holds) && entry.state == vm_state::live) {
-            all.push_back(candidate(entry));
-        }
-    }
-    return all;
-}
-
-/// Holders of this organisation: some of each failure domain, as many as the burst is enough for.
-std::vector<vm_id> organisation_limiter::chosen_holders() const {
-    if (!row_) {
-        return {};
-    }
-    std::vector<vm_entry> live;
-    for (const auto& [vm, entry] : context_.live) {
-        live.push_back(entry);
-    }
-    auto holders = share_holders(organisation_, live, context_.limits.holders_per_domain);
-    const auto enough = std::min<double>(
-        context_.limits.most_holders, std::max(1.0, std::floor(row_->burst / smallest_burst_part)));
-    if (static_cast<double>(holders.size()) <= enough) {
-        return holders;
-    }
-    std::erase_if(live, [&](const vm_entry& vm) {
-        return std::find(holders.begin(), holders.end(), vm.vm) == holders.end();
-    });
-    auto ranked = rank_vms(organisation_.str(), live);
-    ranked.resize(static_cast<std::size_t>(enough));
-    return ranked;
-}
-
 } // namespace jackdawvane
--- a/src/core/limits/organisation_limiter_peers.cpp
+++ b/src/core/limits/organisation_limiter_peers.cpp
@@ -23,17 +23,18 @@
 /// Average over this time tells the demand.
 constexpr double demand_seconds = 5;
 constexpr double microseconds_per_second = 1e6;
+/// Error of a sum of parts of a token.
+constexpr double rounding = 1e-9;
 /// A giver keeps this multiple of its own demand.
 constexpr double demand_margin = 1.2;
 /// Part of an equal share that every giver keeps.
 constexpr double kept_fraction = 0.1;
-/// Moves below this part of the whole are not worth a store call.
-constexpr std::uint32_t smallest_gift = whole_share / 50;
+/// A lack below this part of the whole is not worth a store call.
+constexpr double smallest_lack = 0.02;
 /// Part of its spare rate that a giver gives at once: fewer moves need fewer store calls.
 constexpr double gift_fraction = 0.8;
 /// Burst that every giver keeps; less than one token could never be used.
 constexpr double kept_burst = 2;
-constexpr duration gift_interval = std::chrono::seconds{4};
 constexpr duration rate_request_pause = std::chrono::seconds{8};
 
 double seconds(duration value) noexcept {
@@ -49,14 +50,14 @@
     if (entry == context_.live.end() || transits_.contains(key)) {
         return; // A repeated request has been answered; its grant may still arrive.
     }
-    follow_ledger(now);
+    follow_share(now);
     serve(now);
     const double free = free_tokens(now);
     const double waiting = std::clamp(message.waiting, 0.0, free);
     const double ahead =
         std::clamp(message.amount - message.waiting, 0.0, (free - waiting) * ahead_fraction);
     double amount = waiting + ahead;
-    if (ledger_.record().find(from) == nullptr) {
+    if (ledger().record().find(from) == nullptr && bucket_.capacity() >= 1) {
         amount = std::floor(amount); // Who holds no share cannot keep a part of a token.
     }
     const auto settle = context_.settings.settle;
@@ -74,50 +75,69 @@
 
 void organisation_limiter::on_peer(time_point now, const vm_id& from, const token_grant& message,
                                    actions& out) {
+    const auto expiry = donors_.expiry_of(message.id);
     if (!donors_.granted(now, message.id, from, message.amount, message.left)) {
         return;
     }
-    follow_ledger(now);
+    follow_share(now);
     if (message.amount > 0) {
         messages_.add(now, 1);
-        spend_grant(now, message.amount);
-        const auto entry = context_.live.find(from);
-        if (entry != context_.live.end()) {
-            out.emplace_back(send_to_peer{from, entry->second.peer, peer_channel::stream,
-                                          token_acknowledgement{message.id, organisation_}});
+        if (message.amount < 1 && bucket_.capacity() < 1) {
+            partial_grants_.push_back({from, message.id, message.amount, expiry});
+        } else {
+            spend_grant(now, message.amount);
+            acknowledge(from, message.id, out);
         }
     }
     update(now, out);
 }
 
-void organisation_limiter::on_peer(time_point now, const vm_id& from,
-                                   const token_acknowledgement& message, actions& out) {
-    const auto found = transits_.find({from, message.id});
-    if (found == transits_.end()) {
-        return;
+void organisation_limiter::acknowledge(const vm_id& donor, request_id id, actions& out) const {
+    const auto entry = context_.live.find(donor);
+    if (entry != context_.live.end()) {
+        out.emplace_back(send_to_peer{donor, entry->second.peer, peer_channel::stream,
+                                      token_acknowledgement{id, organisation_}});
     }
-    follow_ledger(now);
-    bucket_.settle(now, found->second.amount);
-    transits_.erase(found);
-    update(now, out);
 }
 
-void organisation_limiter::on_peer(time_point now, const vm_id& from, const share_request& message,
-                                   actions& out) {
-    follow_ledger(now);
-    if (!uses_share() || now < last_gift_ + gift_interval) {
+double organisation_limiter::partial_sum() const noexcept {
+    double sum{0};
+    for (const auto& each : partial_grants_) {
+        sum += each.amount;
+    }
+    return sum;
+}
+
+/// Admits a request once the parts of a token have come together: where the burst is smaller than
+/// the number of holders, none of them ever has a whole one.
+void organisation_limiter::spend_partial_grants(time_point now, actions& out) {
+    std::erase_if(partial_grants_, [now](const auto& each) { return each.expiry <= now; });
+    if (partial_grants_.empty() || waiting_.empty()) {
         return;
     }
-    const auto part = spare_part(now, message);
-    if (part >= smallest_gift && ledger_.give(now, from, part, out)) {
-        last_gift_ = now;
-        update(now, out);
+    const double missing = 1 - partial_sum() - rounding;
+    if (missing <= 0 || (uses_share() && bucket_.take(now, missing))) {
+        decide(admission_state::admitted, waiting_.front().handle, now);
+        waiting_.erase(waiting_.begin());
+        drop_partial_grants(out);
+    }
+}
+
+void organisation_limiter::drop_partial_grants(actions& out) {
+    for (const auto& each : std::exchange(partial_grants_, {})) {
+        acknowledge(each.donor, each.id, out);
     }
 }
 
-void organisation_limiter::on_peer(time_point now, const vm_id& /*from*/,
-                                   const share_notice& message, actions& out) {
-    ledger_.on_notice(now, message, out);
+void organisation_limiter::on_peer(time_point now, const vm_id& from,
+                                   const token_acknowledgement& message, actions& out) {
+    const auto found = transits_.find({from, message.id});
+    if (found == transits_.end()) {
+        return;
+    }
+    follow_share(now);
+    bucket_.settle(now, found->second.amount);
+    transits_.erase(found);
     update(now, out);
 }
 
@@ -131,37 +151,40 @@
     });
 }
 
-/// Part of the own share that the demand here leaves over for @a wanted. Capacity that tokens in
-/// transit occupy stays, else these tokens and the receiver's would exceed the burst.
-std::uint32_t organisation_limiter::spare_part(time_point now, const share_request& wanted) const {
-    const auto whole = ledger_.limits();
-    if (whole.rate <= 0) {
-        return 0;
-    }
-    const double holders = std::max(1.0, static_cast<double>(ledger_.record().holders.size()));
-    const double kept = std::max(demand(now) * demand_margin, whole.rate / holders * kept_fraction);
-    const double spare = std::max(0.0, bucket_.rate() - kept) * gift_fraction;
-    const double lacking = std::max(0.0, wanted.demand * demand_margin - wanted.rate);
-    double part = std::min(spare, lacking) / whole.rate;
-    if (whole.burst > 0) {
+/// Capacity that tokens in transit occupy stays, else these tokens and the receiver's would exceed
+/// the burst.
+double organisation_limiter::spare_fraction(time_point now) const {
+    if (whole_.rate <= 0) {
+        return 1;
+    }
+    const double holders = std::max(1.0, static_cast<double>(ledger().record().holders.size()));
+    const double kept =
+        std::max(demand(now) * demand_margin, whole_.rate / holders * kept_fraction);
+    double spare = std::max(0.0, bucket_.rate() - kept) * gift_fraction / whole_.rate;
+    if (whole_.burst > 0) {
         const double kept_capacity = std::max(bucket_.reserved(), kept_burst);
-        part = std::min(part, (bucket_.capacity() - kept_capacity) / whole.burst);
+        spare = std::min(spare, (bucket_.capacity() - kept_capacity) / whole_.burst);
     }
-    return static_cast<std::uint32_t>(std::clamp(part, 0.0, 1.0) * whole_share);
+    return std::clamp(spare, 0.0, 1.0);
+}
+
+double organisation_limiter::lacking_fraction(const share_request& message) const noexcept {
+    const double lacking = std::max(0.0, message.demand * demand_margin - message.rate);
+    return whole_.rate <= 0 ? 0 : lacking / whole_.rate;
 }
 
 void organisation_limiter::consider_share_request(time_point now, actions& out) {
-    if (now < share_request_at_ || !ledger_.holder() || !ledger_.verified()) {
+    if (now < share_request_at_ || !ledger().holder() || !ledger().verified()) {
         return;
     }
     share_request_at_ = now + context_.limits.share_interval;
     const double wanted = demand(now) * demand_margin - bucket_.rate();
-    const bool worthwhile = wanted * whole_share > ledger_.limits().rate * smallest_gift;
+    const bool worthwhile = wanted > whole_.rate * smallest_lack;
     const bool lacking = std::exchange(short_of_tokens_, false) && worthwhile;
     if (!lacking) {
         return;
     }
-    const auto* donor = donors_.choose_for_rate(now, candidates_);
+    const auto* donor = donors_.choose_for_rate(now, group_.candidates());
     const auto entry = donor == nullptr ? context_.live.end() : context_.live.find(donor->vm);
     if (entry == context_.live.end()) {
         return;
@@ -181,18 +204,17 @@
 }
 
 Json::Value organisation_limiter::describe(time_point now) const {
-    const auto whole = ledger_.limits();
     Json::Value json{Json::objectValue};
-    json["rate"] = whole.rate;
-    json["burst"] = whole.burst;
-    json["part"] = ledger_.usable_part();
-    json["verified"] = ledger_.verified();
+    json["rate"] = whole_.rate;
+    json["burst"] = whole_.burst;
+    json["part"] = ledger().usable_part();
+    json["verified"] = ledger().verified();
     json["own_rate"] = bucket_.rate();
     json["tokens"] = bucket_.tokens(now);
     json["in_transit"] = bucket_.reserved();
     json["waiting"] = static_cast<Json::UInt64>(waiting_.size());
     json["demand"] = demand(now);
-    json["holders"] = static_cast<Json::UInt64>(ledger_.record().holders.size());
+    json["holders"] = static_cast<Json::UInt64>(ledger().record().holders.size());
     return json;
 }
 
--- a/src/core/limits/rate_limiter.cpp
+++ b/src/core/limits/rate_limiter.cpp
@@ -14,6 +14,8 @@
 constexpr int renewal_retry_divisor = 3;
 /// The store's clock may run this much faster than the own one.
 constexpr int clock_margin_divisor = 10;
+/// Moves below this part of the whole are not worth a store call.
+constexpr std::uint32_t smallest_gift = whole_share / 50;
 
 template <class Message>
 concept limiter_message = std::is_same_v<Message, token_request> ||
@@ -37,17 +39,33 @@
     if (newer <= revision_ || leaving_) {
         return;
     }
+    configured_at_ = revision_ == revision{} ? now : configured_at_;
     revision_ = newer;
+    auto removed = std::exchange(rows_, {});
     for (const auto& [organisation, row] : rows) {
-        const auto [entry, created] =
-            organisations_.try_emplace(organisation, organisation, context_);
-        entry->second.configure(now, newer, row, out);
+        const share_limits whole{row.rate, row.burst};
+        rows_.emplace(organisation, whole);
+        if (removed.erase(organisation) == 0 && group_of(organisation).configured++ == 0) {
+            auto& share = group_of(organisation).share;
+            share.activate(now, out);
+            share.fleet_changed(now, out); // The fleet may be known already.
+        }
+        const auto found = organisations_.find(organisation);
+        if (found != organisations_.end()) {
+            found->second.limiter.configure(now, whole, out);
+            reschedule(now, found->second);
+        }
     }
-    for (auto& [organisation, limiter] : organisations_) {
-        if (!rows.contains(organisation) && limiter.configured()) {
-            limiter.retire(now, out);
+    for (const auto& [organisation, whole] : removed) {
+        remove(now, organisation);
+        if (--group_of(organisation).configured == 0) {
+            group_of(organisation).share.leave(now, out);
         }
     }
+    for (auto& [id, group] : groups_) {
+        create_held(now, group, now, out);
+    }
+    settle_all(now, out);
 }
 
 void rate_limiter::set_fleet(time_point now, std::span<const vm_entry> live,
@@ -55,53 +73,160 @@
     now_ = now;
     std::map<vm_id, vm_entry> fleet;
     for (const auto& vm : live) {
-        fleet.emplace(vm.vm, vm);
+        fleet.emplace_hint(fleet.end(), vm.vm, vm);
     }
     if (fleet == context_.live && gone == context_.gone) {
         return;
     }
     context_.live = std::move(fleet);
     context_.gone = gone;
-    for (auto& [organisation, limiter] : organisations_) {
-        limiter.fleet_changed(now, out);
+    for (auto& [id, group] : groups_) {
+        group.share.fleet_changed(now, out);
     }
+    settle_all(now, out);
 }
 
 admission rate_limiter::admit(time_point now, const organisation_id& organisation,
                               request_id handle, time_point deadline, actions& out) {
     now_ = now;
-    const auto found = organisations_.find(organisation);
-    if (found == organisations_.end()) {
+    auto* const found = obtain(now, organisation, now, out);
+    if (found == nullptr) {
         return {handle,
                 admission_state::refused,
                 {error_kind::rate_exceeded,
                  "organisation " + organisation.str() + " has no rate in the configuration",
                  {}}};
     }
-    return found->second.admit(now, handle, deadline, out);
+    auto decision = found->limiter.admit(now, handle, deadline, out);
+    if (decision.state == admission_state::pending) {
+        pending_[handle] = found;
+    }
+    reschedule(now, *found);
+    return decision;
 }
 
 void rate_limiter::withdraw(request_id handle) {
-    for (auto& [organisation, limiter] : organisations_) {
-        limiter.withdraw(handle);
+    const auto found = pending_.find(handle);
+    if (found == pending_.end()) {
+        return;
     }
+    found->second->limiter.withdraw(handle);
+    reschedule(now_, *found->second);
+    pending_.erase(found);
     std::erase_if(context_.decisions, [&](const admission& each) { return each.handle == handle; });
 }
 
 std::vector<admission> rate_limiter::take_decisions() {
+    for (const auto& each : context_.decisions) {
+        pending_.erase(each.handle);
+    }
     return std::exchange(context_.decisions, {});
 }
 
+rate_limiter::group_state& rate_limiter::group_of(const organisation_id& organisation) {
+    const auto id = share_group_of(organisation, context_.limits.groups);
+    const auto found = groups_.find(id);
+    return found != groups_.end()
+               ? found->second
+               : groups_.emplace(id, group_state{share_group{id, context_}, {}, 0, no_deadline})
+                     .first->second;
+}
+
+/// Limiter of @a organisation, created when it is needed first; null without a row.
+rate_limiter::organisation_state* rate_limiter::obtain(time_point now,
+                                                       const organisation_id& organisation,
+                                                       time_point started, actions& out) {
+    const auto found = organisations_.find(organisation);
+    if (found != organisations_.end()) {
+        return &found->second;
+    }
+    const auto row = rows_.find(organisation);
+    if (row == rows_.end()) {
+        return nullptr;
+    }
+    auto& group = group_of(organisation);
+    auto& made =
+        organisations_
+            .emplace(organisation,
+                     organisation_state{
+                         {organisation, group.share, context_, started}, group, no_deadline})
+            .first->second;
+    group.members.push_back(&made);
+    made.limiter.configure(now, row->second, out);
+    reschedule(now, made);
+    return &made;
+}
+
+void rate_limiter::remove(time_point now, const organisation_id& organisation) {
+    const auto found = organisations_.find(organisation);
+    if (found == organisations_.end()) {
+        return;
+    }
+    auto& entry = found->second;
+    entry.limiter.retire(now);
+    std::erase_if(pending_, [&](const auto& each) { return each.second == &entry; });
+    std::erase(entry.group.members, &entry);
+    organisations_due_.erase({entry.due, &entry});
+    organisations_.erase(found);
+}
+
+/// A holder has the limiters of all organisations of its group: their buckets fill up before the
+/// first request comes.
+void rate_limiter::create_held(time_point now, group_state& group, time_point started,
+                               actions& out) {
+    if (!group.share.ledger().holder() || group.members.size() == group.configured) {
+        return;
+    }
+    for (const auto& [organisation, whole] : rows_) {
+        if (&group_of(organisation) == &group) {
+            std::ignore = obtain(now, organisation, started, out);
+        }
+    }
+}
+
+/// Brings the limiters up to date after an event of their group.
+void rate_limiter::settle(time_point now, group_state& group, actions& out) {
+    if (group.share.take_changed()) {
+        create_held(now, group, configured_at_, out);
+        for (auto* const each : group.members) {
+            each->limiter.share_changed(now, out);
+            reschedule(now, *each);
+        }
+    }
+    group.due = group.share.next_deadline();
+    groups_due_ = no_deadline;
+    holder_ = false;
+    for (const auto& [id, each] : groups_) {
+        groups_due_ = std::min(groups_due_, each.due);
+        holder_ = holder_ || each.share.ledger().holder();
+    }
+}
+
+void rate_limiter::settle_all(time_point now, actions& out) {
+    for (auto& [id, group] : groups_) {
+        settle(now, group, out);
+    }
+}
+
+void rate_limiter::reschedule(time_point now, organisation_state& entry) {
+    const auto due = entry.limiter.next_deadline(now);
+    if (due == entry.due) {
+        return;
+    }
+    organisations_due_.erase({entry.due, &entry});
+    entry.due = due;
+    if (due != no_deadline) {
+        organisations_due_.emplace(due, &entry);
+    }
+}
+
 bool rate_limiter::on_peer(time_point now, const vm_id& from, const peer_message& message,
                            actions& out) {
     now_ = now;
     return std::visit(
         [&](const auto& content) {
             if constexpr (limiter_message<std::decay_t<decltype(content)>>) {
-                const auto found = organisations_.find(content.organisation);
-                if (found != organisations_.end()) {
-                    found->second.on_peer(now, from, content, out);
-                }
+                take(now, from, content, out);
                 return true;
             } else {
                 return false;
@@ -110,6 +235,46 @@
         message);
 }
 
+void rate_limiter::take(time_point now, const vm_id& from, const share_request& message,
+                        actions& out) {
+    auto* const found = obtain(now, message.organisation, now, out);
+    if (found == nullptr || !found->group.share.ledger().verified()) {
+        return;
+    }
+    auto& group = found->group;
+    const auto part = spare_part(now, group, found->limiter.lacking_fraction(message));
+    if (part >= smallest_gift && group.share.give(now, from, part, out)) {
+        settle(now, group, out);
+    }
+}
+
+void rate_limiter::take(time_point now, const vm_id& /*from*/, const share_notice& message,
+                        actions& out) {
+    const auto found = groups_.find(message.group);
+    if (found != groups_.end()) {
+        found->second.share.on_notice(now, message, out);
+        settle(now, found->second, out);
+    }
+}
+
+template <class Message>
+void rate_limiter::take(time_point now, const vm_id& from, const Message& message, actions& out) {
+    if (auto* const found = obtain(now, message.organisation, now, out)) {
+        found->limiter.on_peer(now, from, message, out);
+        reschedule(now, *found);
+    }
+}
+
+/// Part of the group's share that no organisation needs here, up to what the asker lacks.
+std::uint32_t rate_limiter::spare_part(time_point now, const group_state& group,
+                                       double lacking) const {
+    double spare = std::min(lacking, 1.0);
+    for (const auto* const each : group.members) {
+        spare = std::min(spare, each->limiter.spare_fraction(now));
+    }
+    return static_cast<std::uint32_t>(std::max(0.0, spare) * whole_share);
+}
+
 bool rate_limiter::on_store(time_point now, const store_answer& answer, actions& out) {
     now_ = now;
     if (abandoned_.erase(answer.id) > 0) {
@@ -119,8 +284,9 @@
         finish_renewal(now, answer.status, out);
         return true;
     }
-    for (auto& [organisation, limiter] : organisations_) {
-        if (limiter.on_store(now, answer, out)) {
+    for (auto& [id, group] : groups_) {
+        if (group.share.on_store(now, answer, out)) {
+            settle(now, group, out);
             return true;
         }
     }
@@ -139,30 +305,46 @@
     }
     context_.lease_renewed = false;
     lease_at_ = now;
-    for (auto& [organisation, limiter] : organisations_) {
-        limiter.paused(now, out);
+    for (auto& [id, group] : groups_) {
+        group.share.paused(now, out);
     }
+    settle_all(now, out);
     renew_lease(now, out);
 }
 
 void rate_limiter::leave(time_point now, actions& out) {
     now_ = now;
     leaving_ = true;
-    for (auto& [organisation, limiter] : organisations_) {
-        limiter.leave(now, out);
+    for (auto& [id, group] : groups_) {
+        group.share.leave(now, out);
     }
+    settle_all(now, out);
 }
 
 bool rate_limiter::left() const noexcept {
     return leaving_ && !lease_pending_ && !lease_held_ &&
-           std::all_of(organisations_.begin(), organisations_.end(),
-                       [](const auto& entry) { return entry.second.ledger().left(); });
+           std::all_of(groups_.begin(), groups_.end(),
+                       [](const auto& entry) { return entry.second.share.ledger().left(); });
 }
 
 void rate_limiter::tick(time_point now, actions& out) {
     now_ = now;
-    for (auto& [organisation, limiter] : organisations_) {
-        limiter.tick(now, out);
+    for (auto& [id, group] : groups_) {
+        if (group.due <= now) {
+            group.share.tick(now, out);
+            settle(now, group, out);
+        }
+    }
+    std::vector<organisation_state*> due;
+    for (const auto& [at, entry] : organisations_due_) {
+        if (at > now) {
+            break;
+        }
+        due.push_back(entry);
+    }
+    for (auto* const entry : due) {
+        entry->limiter.tick(now, out);
+        reschedule(now, *entry);
     }
     renew_lease(now, out);
 }
@@ -172,28 +354,32 @@
     if (leaving_ && lease_held_ && !needs_lease() && !lease_pending_) {
         due = now_;
     }
-    for (const auto& [organisation, limiter] : organisations_) {
-        due = std::min(due, limiter.next_deadline(now_));
+    if (!organisations_due_.empty()) {
+        due = std::min(due, organisations_due_.begin()->first);
     }
-    return due;
+    return std::min(due, groups_due_);
 }
 
 const organisation_limiter* rate_limiter::find(const organisation_id& organisation) const {
     const auto found = organisations_.find(organisation);
-    return found == organisations_.end() ? nullptr : &found->second;
+    return found == organisations_.end() ? nullptr : &found->second.limiter;
+}
+
+const share_group* rate_limiter::find_group(const organisation_id& organisation) const {
+    const auto found = groups_.find(share_group_of(organisation, context_.limits.groups));
+    return found == groups_.end() ? nullptr : &found->second.share;
 }
 
 Json::Value rate_limiter::describe() const {
     Json::Value json{Json::objectValue};
-    for (const auto& [organisation, limiter] : organisations_) {
-        json[organisation.str()] = limiter.describe(now_);
+    for (const auto& [organisation, entry] : organisations_) {
+        json[organisation.str()] = entry.limiter.describe(now_);
     }
     return json;
 }
 
 bool rate_limiter::needs_lease() const noexcept {
-    return std::any_of(organisations_.begin(), organisations_.end(),
-                       [](const auto& entry) { return entry.second.ledger().holder(); });
+    return holder_;
 }
 
 void rate_limiter::finish_renewal(time_point now, store_status status, actions& out) {
@@ -207,9 +393,10 @@
     lease_until_ =
         lease_sent_ + context_.limits.lease - context_.limits.lease / clock_margin_divisor;
     if (!std::exchange(context_.lease_renewed, true)) {
-        for (auto& [organisation, limiter] : organisations_) {
-            limiter.tick(now, out);
+        for (auto& [id, group] : groups_) {
+            group.share.tick(now, out);
         }
+        settle_all(now, out);
     }
 }
 
--- a/src/core/limits/share_ledger.cpp
+++ b/src/core/limits/share_ledger.cpp
@@ -22,19 +22,11 @@
 
 } // namespace
 
-share_ledger::share_ledger(organisation_id organisation, share_context& context)
-    : organisation_{std::move(organisation)}, context_{context} {}
+share_ledger::share_ledger(share_group_id group, share_context& context)
+    : group_{std::move(group)}, context_{context} {}
 
-void share_ledger::configure(time_point now, jackdawvane::revision newer, share_limits limits,
-                             actions& out) {
-    if (newer <= configured_revision_) {
-        return;
-    }
-    if (configured_revision_ == jackdawvane::revision{}) {
-        first_read_at_ = now + random_part(context_.settings.refresh);
-    }
-    configured_revision_ = newer;
-    configured_ = limits;
+void share_ledger::activate(time_point now, actions& out) {
+    active_ = true;
     leaving_ = false;
     schedule_shared_work(now);
     advance(now, out);
@@ -136,12 +128,12 @@
         return no_deadline; // The renewal's answer comes first.
     }
     if (uninvolved()) {
-        return std::max(first_read_at_, retry_at_);
+        return no_deadline;
     }
     if (read_needed_ || confirm_needed_ || !unresolved_.empty() || transfer_) {
         return retry_at_;
     }
-    auto due = std::min({shared_work_at_, lease_check_at_, drained_at_});
+    auto due = std::min({shared_work_at_, lease_check_at_, drained_at_, stray_notice_at_});
     if (holder() || target()) {
         due = std::min(due, refresh_at_);
     }
@@ -169,19 +161,8 @@
     return part;
 }
 
-share_limits share_ledger::limits() const noexcept {
-    auto limits = record_.limits();
-    if (configured_revision_ > record_.revision) {
-        limits.rate = std::min(limits.rate, configured_.rate);
-        limits.burst = std::min(limits.burst, configured_.burst);
-    }
-    return limits;
-}
-
-share_limits share_ledger::usable() const noexcept {
-    const double part = static_cast<double>(usable_part()) / whole_share;
-    const auto whole = limits();
-    return {whole.rate * part, whole.burst * part};
+double share_ledger::usable_fraction() const noexcept {
+    return static_cast<double>(usable_part()) / whole_share;
 }
 
 bool share_ledger::holder() const noexcept {
@@ -206,7 +187,7 @@
     if (call_kind_ != call_kind::none || now < retry_at_) {
         return;
     }
-    if (uninvolved() && now < first_read_at_) {
+    if (uninvolved()) {
         return;
     }
     if (read_needed_) {
@@ -220,6 +201,10 @@
     if (now >= shared_work_at_) {
         shared_work_at_ = no_deadline;
     }
+    if (now >= stray_notice_at_) {
+        stray_notice_at_ = no_deadline;
+        notify(strays(), out);
+    }
     if (next) {
         start_swap(*next, out);
         return;
@@ -257,13 +242,10 @@
     const bool placed = place_self(now, next);
     const bool moved = apply_transfer(next);
     bool changed = removed || placed || moved || confirm_needed_;
-    if (limits_outdated() && (changed || now >= shared_work_at_)) {
-        next.revision = configured_revision_;
-        next.rate = configured_.rate;
-        next.burst = configured_.burst;
-        changed = true;
-    }
-    if ((changed || now >= shared_work_at_) && distribution_due(now, next)) {
+    // A remainder that is not worth a write of its own goes with the next one: with parts that do
+    // not add up to the whole, a burst of one token would never be there.
+    if ((changed && all_targets_joined(next)) ||
+        (now >= shared_work_at_ && distribution_due(now, next))) {
         next.distribute();
         changed = true;
     }
@@ -271,7 +253,7 @@
 }
 
 bool share_ledger::wanted(time_point now) const noexcept {
-    if (leaving_ || superseded() || configured_revision_ == jackdawvane::revision{}) {
+    if (leaving_ || superseded() || !active_) {
         return false;
     }
     return target() || (untargeted_since_ != no_deadline &&
@@ -279,13 +261,11 @@
 }
 
 bool share_ledger::waits_to_join() const noexcept {
-    return !holder() && target() && !leaving_ && !superseded() &&
-           configured_revision_ != jackdawvane::revision{};
+    return !holder() && target() && !leaving_ && !superseded() && active_;
 }
 
-/// Whether this VM is no target and has not seen the record. It reads it at leisure: only an entry
-/// of its own earlier life matters, and a read of every record at each start of every VM is most
-/// of the store calls of a large fleet.
+/// Whether this VM is no target and has not seen the record. It does not read it: if it has the
+/// entry of an earlier life, a holder sends it the record.
 bool share_ledger::uninvolved() const noexcept {
     return read_needed_ && !target() && version_ == 0 && noticed_ == 0 && unresolved_.empty();
 }
@@ -312,7 +292,9 @@
     if (!target() || now < first_join_at_) {
         return false;
     }
-    const auto equal_part = whole_share / static_cast<std::uint32_t>(targets_.size());
+    // Rounded up: the parts of a burst of one token have to add up to a token.
+    const auto count = static_cast<std::uint32_t>(targets_.size());
+    const auto equal_part = (whole_share + count - 1) / count;
     next.holders.push_back(
         {context_.self, context_.incarnation, std::min(equal_part, next.unassigned())});
     return true;
@@ -353,10 +335,6 @@
            (incomplete_since_ != no_deadline && now >= incomplete_since_ + join_patience);
 }
 
-bool share_ledger::limits_outdated() const noexcept {
-    return configured_revision_ > record_.revision && configured_ != record_.limits();
-}
-
 bool share_ledger::all_targets_joined(const share_record& record) const {
     return std::all_of(targets_.begin(), targets_.end(),
                        [&](const vm_id& vm) { return record.find(vm) != nullptr; });
@@ -388,7 +366,7 @@
     }
     const bool complete = all_targets_joined(record_);
     incomplete_since_ = complete ? no_deadline : std::min(incomplete_since_, now);
-    if (limits_outdated() || (complete && distribution_due(now, record_))) {
+    if (complete && distribution_due(now, record_)) {
         shared_work_at_ = std::min(shared_work_at_, now + takeover_delay());
     } else if (!complete && record_.unassigned() >= smallest_distribution) {
         const auto end_of_patience = std::max(now, incomplete_since_ + join_patience);
@@ -397,6 +375,22 @@
     if (lease_to_check() != nullptr && lease_check_at_ == no_deadline) {
         lease_check_at_ = now + takeover_delay();
     }
+    if (!strays().empty() && stray_notice_at_ == no_deadline) {
+        stray_notice_at_ = now + context_.settings.return_after + takeover_delay();
+    }
+}
+
+/// VMs that live and have an entry without being targets. One that has started again since does
+/// not know of it.
+std::vector<vm_id> share_ledger::strays() const {
+    std::vector<vm_id> found;
+    for (const auto& holder : record_.holders) {
+        if (holder.vm != context_.self && context_.live.contains(holder.vm) &&
+            !contains(targets_, holder.vm)) {
+            found.push_back(holder.vm);
+        }
+    }
+    return found;
 }
 
 /// Work that one VM has to do falls to the first live holder by rendezvous rank; each next one
@@ -409,7 +403,7 @@
             candidates.push_back(found->second);
         }
     }
-    const auto ranked = rank_vms(organisation_.str(), candidates);
+    const auto ranked = rank_vms(group_.str(), candidates);
     const auto own = std::find(ranked.begin(), ranked.end(), context_.self);
     const auto step = context_.settings.takeover_step;
     return (own - ranked.begin()) * step + random_part(step / 4);
@@ -422,7 +416,7 @@
 }
 
 void share_ledger::report(actions& out, std::string text, log_level level) const {
-    log(out, "limits", level, "share " + organisation_.str() + ": " + std::move(text));
+    log(out, "limits", level, "share " + group_.str() + ": " + std::move(text));
 }
 
 } // namespace jackdawvane
--- a/src/core/limits/share_ledger_calls.cpp
+++ b/src/core/limits/share_ledger_calls.cpp
@@ -35,7 +35,7 @@
 }
 
 void share_ledger::start_read(actions& out) {
-    call(call_kind::read, request_for(store_operation::read, share_key(organisation_)), out);
+    call(call_kind::read, request_for(store_operation::read, share_key(group_)), out);
 }
 
 void share_ledger::start_swap(const share_record& next, actions& out) {
@@ -43,7 +43,7 @@
     const bool present = own != nullptr && own->incarnation == context_.incarnation;
     unresolved_.push_back({version_, present ? own->part : 0, affected_by(next)});
     proposed_ = next;
-    auto swap = request_for(store_operation::compare_and_swap, share_key(organisation_));
+    auto swap = request_for(store_operation::compare_and_swap, share_key(group_));
     swap.value = write_json(to_json(next));
     swap.version = version_;
     call(call_kind::swap, std::move(swap), out);
@@ -70,10 +70,6 @@
     if (answer.status == store_status::ok) {
         transfer_.reset();
         confirm_needed_ = false;
-        if (proposed_.limits() != record_.limits()) {
-            report(out, "record takes the limits of revision " +
-                            std::to_string(proposed_.revision.value()));
-        }
         observe(now, proposed_, answer.version, out);
         return;
     }
@@ -166,11 +162,10 @@
 
 std::vector<vm_id> share_ledger::affected_by(const share_record& next) const {
     std::vector<vm_id> affected;
-    const bool all = next.limits() != record_.limits();
     for (const auto& holder : next.holders) {
         const auto* before = record_.find(holder.vm);
         const bool raised = before != nullptr && holder.part > before->part;
-        if (holder.vm != context_.self && (all || raised)) {
+        if (holder.vm != context_.self && raised) {
             affected.push_back(holder.vm);
         }
     }
@@ -182,7 +177,7 @@
         const auto found = context_.live.find(vm);
         if (found != context_.live.end()) {
             out.emplace_back(send_to_peer{vm, found->second.peer, peer_channel::stream,
-                                          share_notice{organisation_, version_, record_}});
+                                          share_notice{group_, version_, record_}});
         }
     }
 }
--- a/src/core/limits/share_record.cpp
+++ b/src/core/limits/share_record.cpp
@@ -1,5 +1,7 @@
 #include "jackdawvane/limits/share_record.hpp"
 
+#include "jackdawvane/membership/placement.hpp"
+
 #include <algorithm>
 
 namespace jackdawvane {
@@ -36,10 +38,16 @@
     for (auto& holder : holders) {
         holder.part += each;
     }
+    holders.front().part += unassigned();
+}
+
+share_group_id share_group_of(const organisation_id& organisation, std::uint32_t groups) {
+    const auto index = rendezvous_weight("share-group", organisation.str()) % groups;
+    return share_group_id{std::to_string(groups) + "-" + std::to_string(index)};
 }
 
-std::string share_key(const organisation_id& organisation) {
-    return "shares/" + organisation.str();
+std::string share_key(const share_group_id& group) {
+    return "shares/" + group.str();
 }
 
 std::string lease_key(const vm_id& vm) {
--- a/src/core/limits/token_donors.cpp
+++ b/src/core/limits/token_donors.cpp
@@ -13,8 +13,8 @@
 constexpr duration empty_backoff = std::chrono::milliseconds{20};
 /// First pause after no answer at all: the donor is probably not reachable.
 constexpr duration silent_backoff = std::chrono::milliseconds{250};
-/// A donor with less than this is not worth a message.
-constexpr double smallest_estimate = 1;
+/// A donor with less than one token, or than this part of a smaller burst, is not worth a message.
+constexpr double smallest_burst_fraction = 0.5;
 constexpr double microseconds_per_second = 1e6;
 
 } // namespace
@@ -42,7 +42,7 @@
         const bool waiting = known != donors_.end() && known->second.rate_after > now;
         const bool unreachable = known != donors_.end() && known->second.backoff >= longest_backoff;
         const double score =
-            option.part.rate * (estimate(now, option) + 1) / (option.part.burst + 1);
+            option.fraction * (estimate(now, option) + 1) / (option.fraction * whole_.burst + 1);
         if (!waiting && !unreachable && score > best_score) {
             best = &option;
             best_score = score;
@@ -62,11 +62,11 @@
 double token_donors::estimate(time_point now, const candidate& option) const {
     const auto known = donors_.find(option.vm);
     if (known == donors_.end() || !known->second.left) {
-        return option.part.burst;
+        return option.fraction * whole_.burst;
     }
     const auto age = static_cast<double>((now - known->second.heard).count());
-    const double refilled = option.part.rate * age / microseconds_per_second;
-    return std::min(option.part.burst, *known->second.left + refilled);
+    const double refilled = option.fraction * whole_.rate * age / microseconds_per_second;
+    return std::min(option.fraction * whole_.burst, *known->second.left + refilled);
 }
 
 void token_donors::asked(request_id id, const vm_id& vm, double amount, time_point expiry) {
@@ -97,6 +97,11 @@
     return true;
 }
 
+time_point token_donors::expiry_of(request_id id) const {
+    const auto found = open_.find(id);
+    return found == open_.end() ? time_point::min() : found->second.expiry;
+}
+
 void token_donors::expire(time_point now) {
     for (auto it = open_.begin(); it != open_.end();) {
         if (it->second.expiry >= now) {
@@ -131,20 +136,25 @@
     silent.ask_after = now + silent.backoff;
 }
 
+double token_donors::smallest_estimate(const candidate& option) const noexcept {
+    return std::min(1.0, option.fraction * whole_.burst * smallest_burst_fraction);
+}
+
 time_point token_donors::askable_at(time_point now, const candidate& option) const {
     const auto known = donors_.find(option.vm);
     if (known != donors_.end() && known->second.busy) {
         return no_deadline;
     }
     const auto earliest = known == donors_.end() ? now : known->second.ask_after;
-    const double missing = smallest_estimate - estimate(now, option);
+    const double rate = option.fraction * whole_.rate;
+    const double missing = smallest_estimate(option) - estimate(now, option);
     if (missing <= 0) {
         return earliest;
     }
-    if (option.part.rate <= 0 || option.part.burst < smallest_estimate) {
+    if (rate <= 0) {
         return no_deadline;
     }
-    const double wait = missing / option.part.rate * microseconds_per_second;
+    const double wait = missing / rate * microseconds_per_second;
     constexpr double longest_wait = 1e12;
     return std::max(earliest,
                     now + duration{static_cast<duration::rep>(std::min(wait, longest_wait)) + 1});
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -41,7 +41,9 @@
                        random_engine& random)
     : settings_{std::move(settings)}, ids_{ids}, random_{random}, table_{settings_.self,
                                                                          settings_.incarnation},
-      live_{table_.live()}, list_back_off_{settings_.retry_floor} {}
+      live_{table_.live()}, list_back_off_{settings_.retry_floor} {
+    delegate_rank_ = find_delegate_rank();
+}
 
 void membership::start(time_point now, actions& out) {
     started_ = last_event_ = store_heard_ = foreign_heard_ = next_check_ = list_at_ = now;
@@ -87,7 +89,7 @@
         probe_seeds(out);
     }
     poll_list(now, out);
-    refresh(out);
+    refresh(now, out);
 }
 
 time_point membership::next_deadline() const {
@@ -95,6 +97,9 @@
         return time_point::min();
     }
     auto due = std::min({last_event_ + longest_tick, next_probe_, next_gossip_, next_check_});
+    if (changed_) {
+        due = std::min(due, refreshed_at_ + settings_.change_interval);
+    }
     for (const auto& [sequence, probe] : probes_) {
         const auto wait = probe.indirect_sent || !probe.raises_suspicion ? settings_.probe_timeout
                                                                          : settings_.indirect_after;
@@ -126,7 +131,7 @@
     const auto heard = table_.hear(now, from, from_incarnation);
     auto* const record = table_.find(from);
     if (record == nullptr || heard == merge_result::stale) {
-        refresh(out);
+        refresh(now, out);
         return;
     }
     if (heard == merge_result::news) {
@@ -151,7 +156,7 @@
         on_ack(from, probe, out);
         break;
     }
-    refresh(out);
+    refresh(now, out);
 }
 
 void membership::on_ping(time_point now, const vm_id& from, const membership_probe& probe,
@@ -217,7 +222,7 @@
     for (const auto& vm : receivers) {
         ping(now, vm, false, out);
     }
-    refresh(out);
+    refresh(now, out);
 }
 
 vm_id membership::next_target() {
--- a/src/core/membership/membership_list.cpp
+++ b/src/core/membership/membership_list.cpp
@@ -52,7 +52,7 @@
     list_back_off_ = std::min(2 * list_back_off_, settings_.retry_ceiling);
 }
 
-std::size_t membership::delegate_rank() const {
+std::size_t membership::find_delegate_rank() const {
     const auto chosen = delegates(delegate_task, settings_.self.place.domain, live_,
                                   settings_.delegates_per_domain);
     const auto found = std::find(chosen.begin(), chosen.end(), settings_.self.vm);
@@ -62,7 +62,7 @@
 
 bool membership::needs_store_evidence(time_point now) const {
     const bool foreign_silent = now - foreign_heard_ >= settings_.isolation / 2;
-    const auto rank = std::min(delegate_rank(), evidence_ages.size() - 1);
+    const auto rank = std::min(delegate_rank_, evidence_ages.size() - 1);
     return foreign_silent && now - store_heard_ >= evidence_ages.at(rank);
 }
 
@@ -82,7 +82,7 @@
         read_list(now, duration{0}, out);
         return;
     }
-    if (delegate_rank() < settings_.delegates_per_domain) {
+    if (delegate_rank_ < settings_.delegates_per_domain) {
         read_list(now, settings_.list_wait, out);
     }
 }
@@ -113,11 +113,12 @@
                 spread(*table_.find(vm));
             }
         }
+        list_at_ = list_read_ ? now + settings_.list_pause : now;
         list_version_ = answer.version;
         list_read_ = true;
     }
     poll_list(now, out);
-    refresh(out);
+    refresh(now, out);
     return true;
 }
 
--- a/src/core/membership/membership_news.cpp
+++ b/src/core/membership/membership_news.cpp
@@ -104,15 +104,19 @@
     }
 }
 
-void membership::refresh(actions& out) {
-    if (!std::exchange(changed_, false)) {
+void membership::refresh(time_point now, actions& out) {
+    const bool first = refreshed_at_ == time_point::min();
+    if (!changed_ || (!first && now < refreshed_at_ + settings_.change_interval)) {
         return;
     }
+    changed_ = false;
     auto present = table_.live();
     if (present == live_) {
         return;
     }
     live_ = std::move(present);
+    refreshed_at_ = now;
+    delegate_rank_ = find_delegate_rank();
     ++version_;
     log(out, log_part, log_level::info, std::to_string(live_.size()) + " VMs count as live");
 }
--- a/src/core/membership/placement.cpp
+++ b/src/core/membership/placement.cpp
@@ -3,7 +3,8 @@
 #include <utility>
 
 #include <algorithm>
-#include <set>
+#include <functional>
+#include <map>
 #include <string>
 
 #include <xxhash.h>
@@ -12,10 +13,17 @@
 
 namespace {
 
+using weighted_vm = std::pair<std::uint64_t, const vm_entry*>;
+
 bool is_eligible(const vm_entry& vm) noexcept {
     return vm.state == vm_state::live;
 }
 
+bool heavier(const weighted_vm& left, const weighted_vm& right) noexcept {
+    return left.first != right.first ? left.first > right.first
+                                     : left.second->vm > right.second->vm;
+}
+
 template <class Predicate>
 std::optional<vm_id> heaviest(std::string_view key, std::span<const vm_entry> live,
                               Predicate accepts) {
@@ -72,24 +80,39 @@
 
 std::vector<vm_id> delegates(std::string_view key, const failure_domain_id& domain,
                              std::span<const vm_entry> live, std::size_t count) {
-    std::vector<vm_entry> candidates;
-    std::copy_if(live.begin(), live.end(), std::back_inserter(candidates),
-                 [&](const vm_entry& vm) { return is_eligible(vm) && vm.place.domain == domain; });
-    auto ranked = rank_vms(key, candidates);
-    ranked.resize(std::min(ranked.size(), count));
+    std::vector<weighted_vm> candidates;
+    for (const auto& vm : live) {
+        if (is_eligible(vm) && vm.place.domain == domain) {
+            candidates.emplace_back(rendezvous_weight(key, vm.vm.str()), &vm);
+        }
+    }
+    count = std::min(count, candidates.size());
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count),
+                      candidates.end(), heavier);
+    std::vector<vm_id> ranked;
+    for (std::size_t i = 0; i < count; ++i) {
+        ranked.push_back(candidates[i].second->vm);
+    }
     return ranked;
 }
 
-std::vector<vm_id> share_holders(const organisation_id& organisation,
-                                 std::span<const vm_entry> live, std::size_t per_domain) {
-    std::set<failure_domain_id> domains;
-    for (const auto& vm : live) {
-        domains.insert(vm.place.domain);
+std::vector<vm_id> share_holders(const share_group_id& group, std::span<const vm_entry* const> live,
+                                 std::size_t per_domain, std::size_t most) {
+    std::vector<weighted_vm> ranked;
+    ranked.reserve(live.size());
+    for (const auto* vm : live) {
+        if (is_eligible(*vm)) {
+            ranked.emplace_back(rendezvous_weight(group.str(), vm->vm.str()), vm);
+        }
     }
+    std::sort(ranked.begin(), ranked.end(), heavier);
+    std::map<failure_domain_id, std::size_t> chosen_in;
     std::vector<vm_id> holders;
-    for (const auto& domain : domains) {
-        auto chosen = delegates(organisation.str(), domain, live, per_domain);
-        holders.insert(holders.end(), chosen.begin(), chosen.end());
+    for (const auto& [weight, vm] : ranked) {
+        if (holders.size() < most && chosen_in[vm->place.domain] < per_domain) {
+            ++chosen_in[vm->place.domain];
+            holders.push_back(vm->vm);
+        }
     }
     return holders;
 }
--- a/src/core/sessions/group_observer.cpp
+++ b/src/core/sessions/group_observer.cpp
@@ -39,13 +39,18 @@
 }
 
 void group_observer::choose_role(time_point now) {
-    std::vector<vm_entry> mates;
-    std::copy_if(
-        state_.live.begin(), state_.live.end(), std::back_inserter(mates), [&](const vm_entry& vm) {
-            return vm.place.region == state_.self.place.region && vm.state == vm_state::live;
-        });
+    if (ranked_version_ != state_.fleet_version || ranked_.empty()) {
+        std::vector<vm_entry> mates;
+        std::copy_if(state_.live.begin(), state_.live.end(), std::back_inserter(mates),
+                     [&](const vm_entry& vm) {
+                         return vm.place.region == state_.self.place.region &&
+                                vm.state == vm_state::live;
+                     });
+        ranked_ = rank_vms(observer_task, mates);
+        ranked_version_ = state_.fleet_version;
+    }
     observer_ = vm_id{};
-    for (const auto& vm : rank_vms(observer_task, mates)) {
+    for (const auto& vm : ranked_) {
         if (vm == state_.self.vm) {
             break;
         }
--- a/src/core/sessions/member_gateway.cpp
+++ b/src/core/sessions/member_gateway.cpp
@@ -12,21 +12,45 @@
                                id_sequence<connection_id>& ids)
     : state_{state}, owner_{owner}, settings_{settings}, ids_{ids} {}
 
-std::optional<vm_id> member_gateway::owner_for(time_point now,
-                                               const backend_server_id& backend) const {
+std::optional<vm_id> member_gateway::owner_for(time_point now, const backend_server_id& backend) {
     const auto* entry = state_.directory.find(backend);
     if (entry == nullptr) {
         return {};
     }
+    std::erase_if(unreachable_, [&](const auto& each) {
+        return now - each.second > settings_.unreachable_memory;
+    });
+    const bool all_reach =
+        std::none_of(unreachable_.begin(), unreachable_.end(),
+                     [&](const auto& each) { return each.first.second == backend; });
+    if (all_reach) {
+        return usual_owner(backend, *entry);
+    }
     std::vector<vm_entry> candidates;
     std::copy_if(state_.live.begin(), state_.live.end(), std::back_inserter(candidates),
                  [&](const vm_entry& vm) {
-                     const auto found = unreachable_.find({vm.vm, backend});
-                     return found == unreachable_.end() ||
-                            now - found->second > settings_.unreachable_memory;
+                     return !unreachable_.contains({vm.vm, backend});
                  });
-    const location place{state_.region_of(entry->registration.domain), entry->registration.domain};
-    return owner_of(backend, place, candidates);
+    return owner_of(backend, place_of(*entry), candidates);
+}
+
+location member_gateway::place_of(const backend_directory::entry& backend) const {
+    return {state_.region_of(backend.registration.domain), backend.registration.domain};
+}
+
+/// The owner as it follows from the fleet alone, looked up once for each version of the fleet.
+std::optional<vm_id> member_gateway::usual_owner(const backend_server_id& backend,
+                                                 const backend_directory::entry& entry) const {
+    if (owners_version_ != state_.fleet_version) {
+        owners_version_ = state_.fleet_version;
+        owners_.clear();
+    }
+    const auto place = place_of(entry);
+    auto& known = owners_[backend];
+    if (!known.owner || known.place != place) {
+        known = {place, owner_of(backend, place, state_.live)};
+    }
+    return known.owner;
 }
 
 bool member_gateway::owns(const backend_server_id& backend) const {
@@ -34,8 +58,7 @@
     if (entry == nullptr) {
         return false;
     }
-    const location place{state_.region_of(entry->registration.domain), entry->registration.domain};
-    return owner_of(backend, place, state_.live) == state_.self.vm;
+    return usual_owner(backend, *entry) == state_.self.vm;
 }
 
 bool member_gateway::open(time_point now, const backend_server_id& backend) const {
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -192,10 +192,9 @@
     }
     fleet_version_ = members_.version();
     const auto before = std::exchange(state_.live, members_.live());
+    state_.fleet_version = fleet_version_;
     for (const auto& vm : before) {
-        const bool stays = std::any_of(state_.live.begin(), state_.live.end(),
-                                       [&](const vm_entry& each) { return each.vm == vm.vm; });
-        if (!stays && vm.vm != settings_.self.vm) {
+        if (vm.vm != settings_.self.vm && state_.find_vm(vm.vm) == nullptr) {
             vm_lost(vm.vm, out);
         }
     }
