Observe each group by one VM of a region, and ask for evidence when statements wait for it

Cause: every VM asked its region's observer five times a second for the statuses of all backend servers, and got the whole registry with the answer after each heartbeat of any server. At 295 VMs one VM with 0.12 of a core had about 740 such questions a second, while a VM serves 8 operations a second. In a start of all VMs the list of VMs spread from VM to VM: after 10 s some knew 182 of 295.

Ruled out: a tree of relays (as many bytes, two more hops in each proof); longer intervals (a proof is valid for 800 ms).

Change: the observer of a group follows from rendezvous hashing for each region and group. A VM asks it about a group when a statement waits for its proof or position, or when the proof is about to run out, at most every 100 ms. A VM that is asked observes the group for 3 s, so VMs with different views of the fleet do not all begin to observe. Second opinions before a promotion come from the observers of each region and one VM of each other domain. The registry goes to a VM when its content changes; the version of a list is that of its last change. A VM that starts reads the VM list again until a reading brings nothing new, takes the listed VMs for live meanwhile, and does not spread what the others read themselves. A configuration that leaves an organisation's limits as they were does not touch its limiter.

Tests: group_observer_test (one observer for a group, no question without need, a VM that is asked begins to observe, one answer proves a primary and its position, silent observers), the version of the backend directory.

--- a/include/jackdawvane/limits/rate_limiter.hpp
+++ b/include/jackdawvane/limits/rate_limiter.hpp
@@ -89,6 +89,12 @@
         time_point due{no_deadline};
     };
 
+    struct configured_organisation {
+        share_limits whole;
+        group_state* group{nullptr};
+    };
+    using row_map = std::unordered_map<organisation_id, configured_organisation>;
+
     void finish_renewal(time_point now, store_status status, actions& out);
     void renew_lease(time_point now, actions& out);
     [[nodiscard]] bool needs_lease() const noexcept;
@@ -96,7 +102,9 @@
     group_state& group_of(const organisation_id& organisation);
     organisation_state* obtain(time_point now, const organisation_id& organisation,
                                time_point started, actions& out);
-    void remove(time_point now, const organisation_id& organisation);
+    void apply(time_point now, const organisation_id& organisation, share_limits whole,
+               actions& out);
+    row_map::iterator remove(time_point now, row_map::iterator row, actions& out);
     void settle(time_point now, group_state& group, actions& out);
     void settle_all(time_point now, actions& out);
     void create_held(time_point now, group_state& group, time_point started, actions& out);
@@ -109,7 +117,7 @@
     void take(time_point now, const vm_id& from, const Message& message, actions& out);
 
     limiter_context context_;
-    std::unordered_map<organisation_id, share_limits> rows_;
+    row_map rows_;
     std::map<share_group_id, group_state> groups_;
     std::map<organisation_id, organisation_state> organisations_;
     std::set<std::pair<time_point, organisation_state*>> organisations_due_;
--- a/include/jackdawvane/membership/member_table.hpp
+++ b/include/jackdawvane/membership/member_table.hpp
@@ -63,10 +63,10 @@
     merge_result hear(time_point now, const vm_id& vm, vm_incarnation incarnation);
 
     /// @brief Takes the platform's list.
-    /// @param first whether it is the first one: its VMs count as live before they are heard
+    /// @param presume whether its VMs count as live before they are heard
     /// @return VMs whose facts have changed; empty for a list older than the last one
     std::vector<vm_id> take_list(time_point now, const std::vector<vm_entry>& list,
-                                 std::uint64_t version, bool first);
+                                 std::uint64_t version, bool presume);
 
     /// @brief Sets the health of a VM within its incarnation.
     static void judge(member_record& record, member_health health);
--- a/include/jackdawvane/membership/membership.hpp
+++ b/include/jackdawvane/membership/membership.hpp
@@ -33,6 +33,10 @@
     /// Interval of extra messages while there is news to spread.
     duration gossip_interval{std::chrono::milliseconds{200}};
     duration list_wait{std::chrono::seconds{30}};
+    /// A VM that has started reads the list again after this until a reading brings nothing new.
+    /// In a start of all VMs the first readings show few of them, and news of hundreds of VMs
+    /// takes many seconds from VM to VM.
+    duration list_reread{std::chrono::milliseconds{900}};
     /// Between a change of the list and the next call: VMs that start together are one change.
     duration list_pause{std::chrono::milliseconds{250}};
     duration retry_floor{std::chrono::milliseconds{200}};
@@ -161,6 +165,7 @@
     void read_list(time_point now, duration wait, actions& out);
     void list_failed(time_point now);
     void poll_list(time_point now, actions& out);
+    [[nodiscard]] duration jittered(duration longest);
     [[nodiscard]] std::size_t find_delegate_rank() const;
     [[nodiscard]] bool needs_store_evidence(time_point now) const;
 
@@ -194,6 +199,7 @@
     std::uint64_t list_version_{0};
     time_point list_sent_{};
     time_point list_at_{};
+    time_point list_reread_at_{no_deadline};
     duration list_back_off_;
     time_point store_heard_{};
     time_point foreign_heard_{};
--- a/include/jackdawvane/membership/placement.hpp
+++ b/include/jackdawvane/membership/placement.hpp
@@ -39,6 +39,11 @@
 [[nodiscard]] std::vector<vm_id> delegates(std::string_view key, const failure_domain_id& domain,
                                            std::span<const vm_entry> live, std::size_t count);
 
+/// @brief Up to @a count VMs of the region @a region for the task @a key.
+[[nodiscard]] std::vector<vm_id> region_delegates(std::string_view key, const region_id& region,
+                                                  std::span<const vm_entry> live,
+                                                  std::size_t count);
+
 /// @brief VMs that hold shares of @a group.
 /// @param live VMs that are believed to be alive; those that are leaving are passed over
 /// @param per_domain VMs of each failure domain
--- a/include/jackdawvane/node/peer.hpp
+++ b/include/jackdawvane/node/peer.hpp
@@ -330,10 +330,12 @@
     static constexpr const char* method = "observation.query";
     std::uint64_t number{0};
     std::uint64_t directory_version{0}; ///< Directory that the asker has.
+    std::vector<group_id> groups;       ///< Whose members the asker wants to know of.
 
     static constexpr auto fields() {
         return std::tuple{field("number", &observation_query::number),
-                          field("directory_version", &observation_query::directory_version)};
+                          field("directory_version", &observation_query::directory_version),
+                          field("groups", &observation_query::groups)};
     }
 };
 
@@ -357,14 +359,17 @@
     static constexpr const char* method = "observation.reply";
     std::uint64_t number{0}; ///< Of the query.
     std::vector<member_observation> members;
-    std::uint64_t directory_version{0};
+    std::uint64_t directory_version{0};      ///< Of the last change.
+    std::uint64_t directory_read_version{0}; ///< Of the last reading.
     duration directory_age{0};
     std::vector<backend_registration> directory; ///< Empty when the asker has this version.
 
     static constexpr auto fields() {
         using self = observation_reply;
-        return std::tuple{field("number", &self::number), field("members", &self::members),
+        return std::tuple{field("number", &self::number),
+                          field("members", &self::members),
                           field("directory_version", &self::directory_version),
+                          field("directory_read_version", &self::directory_read_version),
                           field("directory_age_us", &self::directory_age),
                           field("directory", &self::directory)};
     }
--- a/include/jackdawvane/sessions/backend_directory.hpp
+++ b/include/jackdawvane/sessions/backend_directory.hpp
@@ -36,8 +36,12 @@
     /// @return whether a backend server came, went or changed
     bool update(time_point now, time_point read_at, std::uint64_t version,
                 const std::vector<backend_registration>& registrations);
-    /// @brief The reading of @a version was made again at @a read_at and is the same.
-    void confirm(time_point now, time_point read_at, std::uint64_t version);
+    /// @brief Another VM read the registry at @a read_at.
+    /// @param changed version of the last change that it saw
+    /// @param read version of its reading
+    ///
+    /// Its list is the same as the one here if this one's version is between the two.
+    void confirm(time_point now, time_point read_at, std::uint64_t changed, std::uint64_t read);
 
     [[nodiscard]] const std::map<backend_server_id, entry>& entries() const noexcept {
         return entries_;
@@ -47,7 +51,11 @@
     [[nodiscard]] std::set<backend_server_id> members(const group_id& group) const;
     [[nodiscard]] std::set<group_id> groups() const;
 
+    /// @brief Registry version at which the last change was read. Heartbeats raise the version of
+    /// the registry all the time, so it does not tell whether a list is newer.
     [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
+    /// @brief Registry version of the last reading.
+    [[nodiscard]] std::uint64_t read_version() const noexcept { return read_version_; }
     [[nodiscard]] time_point read_at() const noexcept { return read_at_; }
     [[nodiscard]] bool known() const noexcept { return known_; }
     /// @brief Registrations for another VM.
@@ -57,6 +65,7 @@
     directory_settings settings_;
     std::map<backend_server_id, entry> entries_;
     std::uint64_t version_{0};
+    std::uint64_t read_version_{0};
     time_point read_at_{time_point::min()};
     time_point grace_until_{time_point::min()};
     bool known_{false};
--- a/include/jackdawvane/sessions/fleet_state.hpp
+++ b/include/jackdawvane/sessions/fleet_state.hpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace jackdawvane {
@@ -20,6 +21,8 @@
     backend_directory directory;
     std::map<group_id, group_leadership> leaderships;
     std::map<failure_domain_id, region_id> regions; ///< Region of each failure domain.
+    /// Groups whose evidence statements wait for, or will soon; the observer asks for it.
+    std::set<group_id> awaited;
 
     /// @brief Leadership of @a group; created when it is new.
     group_leadership& leadership(const group_id& group) { return leaderships[group]; }
--- a/include/jackdawvane/sessions/group_observer.hpp
+++ b/include/jackdawvane/sessions/group_observer.hpp
@@ -7,16 +7,26 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace jackdawvane {
 
 /// @brief Intervals of the observation of backend servers.
 struct observer_settings {
-    /// Between two statuses of a primary or of a group's witness, and between two questions to the
-    /// observer. Both together with the round trips stay well below the validity of a proof.
+    /// Between two statuses of a primary or of a group's witness. With the questions to the
+    /// observer and the round trips it stays well below the validity of a proof.
     duration status_interval{std::chrono::milliseconds{250}};
-    duration query_interval{std::chrono::milliseconds{200}};
+    /// Between two questions about a group while statements wait for its evidence.
+    duration query_interval{std::chrono::milliseconds{100}};
+    /// Between two questions for changes of the registry.
+    duration directory_query_interval{std::chrono::milliseconds{900}};
+    /// A VM that is asked about a group observes it for this long, also if its own view of the
+    /// fleet names another observer.
+    duration asked_memory{std::chrono::seconds{3}};
+    /// VMs of the region that are tried as observer of a group before a VM observes it itself.
+    std::size_t observer_candidates{6};
     /// Between two statuses of a replica that is not the witness; each one takes a slot.
     duration slow_status_interval{std::chrono::milliseconds{1000}};
     /// A backend server or observer that does not answer for this long counts as silent.
@@ -41,10 +51,11 @@
 
 /// @brief Keeps this VM's knowledge of backend servers fresh.
 ///
-/// One VM per region asks the backend servers for their status and reads the registry; the others
-/// ask that VM. Of each group, the primary and one replica, the witness, are asked often. Who that
-/// is follows from rendezvous hashing. A VM that does not answer is passed over, so an observer
-/// that dies is replaced before its proofs run out.
+/// Of each group, one VM per region asks the members for their status; the others ask that VM when
+/// statements need to know. One VM per region reads the registry; the others ask it for changes.
+/// Who that is follows from rendezvous hashing, so the work of a VM does not grow with the fleet.
+/// The primary and one replica, the witness, are asked often. A VM that does not answer is passed
+/// over, so an observer that dies is replaced before its proofs run out.
 class group_observer {
   public:
     group_observer(fleet_state& state, observer_settings settings,
@@ -60,8 +71,10 @@
     /// @return whether a connection is open
     bool command(time_point now, const backend_server_id& backend, backend_command command,
                  proxy_output& out);
-    /// @brief Queries one VM of each other failure domain.
-    void ask_other_domains(time_point now, proxy_output& out);
+    /// @brief Queries one VM of each other failure domain about @a groups and the registry.
+    void ask_other_domains(time_point now, const std::vector<group_id>& groups, proxy_output& out);
+    /// @brief Asks for the evidence that statements wait for.
+    void query_awaited(time_point now, proxy_output& out);
 
     /// @return whether the connection belongs to this part
     bool on_ready(time_point now, const member_ready& ready, proxy_output& out);
@@ -103,7 +116,11 @@
         std::optional<member_status> status;
     };
 
-    void choose_role(time_point now);
+    void choose_roles(time_point now);
+    /// First VM of @a ranked that is not silent; empty when this VM comes first or all are silent.
+    [[nodiscard]] vm_id first_answering(time_point now, const std::vector<vm_id>& ranked) const;
+    [[nodiscard]] const std::vector<vm_id>& ranked_for(const std::string& task);
+    [[nodiscard]] vm_id observer_of(time_point now, const group_id& group);
     void read_directory(time_point now, proxy_output& out);
     void watch_members(time_point now, proxy_output& out);
     /// Replica whose statuses prove the primary of @a group.
@@ -114,8 +131,15 @@
                       proxy_output& out);
     void open(time_point now, const backend_registration& member, control& own, proxy_output& out);
     void drop(time_point now, control& own, proxy_output& out);
-    void query_observer(time_point now, proxy_output& out);
-    void send_query(time_point now, const vm_id& to, proxy_output& out);
+    void expire_queries(time_point now, proxy_output& out);
+    void query_directory(time_point now, proxy_output& out);
+    void send_query(time_point now, const vm_id& to, std::vector<group_id> groups,
+                    proxy_output& out);
+    void judge_answer(time_point now, const vm_id& from, const observation_reply& reply,
+                      const std::vector<group_id>& groups);
+    void take_directory(time_point now, time_point asked, const vm_id& from,
+                        const observation_reply& reply, proxy_output& out);
+    void take_observation(time_point now, time_point asked, const member_observation& each);
     [[nodiscard]] bool silent(time_point now, const vm_id& vm) const;
 
     fleet_state& state_;
@@ -129,18 +153,23 @@
     std::vector<control_answer> answers_;
 
     bool always_active_{false};
-    bool active_{false};
-    std::vector<vm_id> ranked_; ///< VMs of this region as observers, first choice first.
+    std::set<group_id> observed_; ///< Groups whose members this VM asks.
+    /// VMs of this region by task, first choice first, for `ranked_version_`.
+    std::map<std::string, std::vector<vm_id>> ranked_;
     std::uint64_t ranked_version_{0};
-    vm_id observer_; ///< VM of the own region that is asked.
+    vm_id reader_; ///< VM of the own region that is asked for the registry; empty for this one.
     std::map<vm_id, time_point> silent_since_;
+    std::map<vm_id, time_point> ignorant_since_; ///< Answers, but knows nothing recent.
+    std::map<group_id, time_point> asked_until_;
+    std::map<group_id, time_point> next_group_query_;
     struct open_query {
         vm_id to;
         time_point at;
+        std::vector<group_id> groups;
     };
     std::map<std::uint64_t, open_query> queries_;
     std::uint64_t query_number_{0};
-    time_point next_query_{};
+    time_point next_directory_query_{};
     time_point next_foreign_query_{};
 
     request_id directory_call_;
--- a/include/jackdawvane/sessions/promotion_duty.hpp
+++ b/include/jackdawvane/sessions/promotion_duty.hpp
@@ -82,7 +82,7 @@
                proxy_output& out);
     void advance(time_point now, const group_id& group, attempt& own, proxy_output& out);
     void advance_confirm(time_point now, const group_id& group, attempt& own, proxy_output& out);
-    void advance_step_down(time_point now, attempt& own, proxy_output& out);
+    void advance_step_down(time_point now, const group_id& group, attempt& own, proxy_output& out);
     void advance_catch_up(time_point now, const group_id& group, attempt& own, proxy_output& out);
     void begin_hold(time_point now, const group_id& group, attempt& own, proxy_output& out);
     void advance_hold(time_point now, const group_id& group, attempt& own, proxy_output& out);
--- a/include/jackdawvane/sessions/statement_executor.hpp
+++ b/include/jackdawvane/sessions/statement_executor.hpp
@@ -45,6 +45,9 @@
     /// sent ends as unknown, what waits can be refused as not run. Above the status interval, the
     /// question to the observer and the round trips.
     duration primary_silence{std::chrono::milliseconds{700}};
+    /// Evidence older than this is asked for again with the next statement that needs it, before
+    /// it runs out.
+    duration evidence_refresh{std::chrono::milliseconds{400}};
     /// Between two tries of a statement that a backend server had no room for.
     duration retry_pause{std::chrono::milliseconds{20}};
     /// Longest wait for proof that the primary of an answered write was not replaced.
--- a/src/core/limits/rate_limiter.cpp
+++ b/src/core/limits/rate_limiter.cpp
@@ -41,26 +41,11 @@
     }
     configured_at_ = revision_ == revision{} ? now : configured_at_;
     revision_ = newer;
-    auto removed = std::exchange(rows_, {});
-    for (const auto& [organisation, row] : rows) {
-        const share_limits whole{row.rate, row.burst};
-        rows_.emplace(organisation, whole);
-        if (removed.erase(organisation) == 0 && group_of(organisation).configured++ == 0) {
-            auto& share = group_of(organisation).share;
-            share.activate(now, out);
-            share.fleet_changed(now, out); // The fleet may be known already.
-        }
-        const auto found = organisations_.find(organisation);
-        if (found != organisations_.end()) {
-            found->second.limiter.configure(now, whole, out);
-            reschedule(now, found->second);
-        }
+    for (auto it = rows_.begin(); it != rows_.end();) {
+        it = rows.contains(it->first) ? std::next(it) : remove(now, it, out);
     }
-    for (const auto& [organisation, whole] : removed) {
-        remove(now, organisation);
-        if (--group_of(organisation).configured == 0) {
-            group_of(organisation).share.leave(now, out);
-        }
+    for (const auto& [organisation, row] : rows) {
+        apply(now, organisation, {row.rate, row.burst}, out);
     }
     for (auto& [id, group] : groups_) {
         create_held(now, group, now, out);
@@ -68,6 +53,48 @@
     settle_all(now, out);
 }
 
+/// Sets the limits of one organisation. Most rows of a new configuration are the same as before.
+void rate_limiter::apply(time_point now, const organisation_id& organisation, share_limits whole,
+                         actions& out) {
+    auto [found, created] = rows_.try_emplace(organisation);
+    auto& row = found->second;
+    if (!created && row.whole == whole) {
+        return;
+    }
+    row.whole = whole;
+    if (created) {
+        row.group = &group_of(organisation);
+        if (row.group->configured++ == 0) {
+            row.group->share.activate(now, out);
+            row.group->share.fleet_changed(now, out); // The fleet may be known already.
+        }
+    }
+    const auto limiter = organisations_.find(organisation);
+    if (limiter != organisations_.end()) {
+        limiter->second.limiter.configure(now, whole, out);
+        reschedule(now, limiter->second);
+    }
+}
+
+/// Removes an organisation that is not in the configuration any more.
+rate_limiter::row_map::iterator rate_limiter::remove(time_point now, row_map::iterator row,
+                                                     actions& out) {
+    const auto found = organisations_.find(row->first);
+    if (found != organisations_.end()) {
+        auto& entry = found->second;
+        entry.limiter.retire(now);
+        std::erase_if(pending_, [&](const auto& each) { return each.second == &entry; });
+        std::erase(entry.group.members, &entry);
+        organisations_due_.erase({entry.due, &entry});
+        organisations_.erase(found);
+    }
+    auto& group = *row->second.group;
+    if (--group.configured == 0) {
+        group.share.leave(now, out);
+    }
+    return rows_.erase(row);
+}
+
 void rate_limiter::set_fleet(time_point now, std::span<const vm_entry> live,
                              const std::set<vm_id>& gone, actions& out) {
     now_ = now;
@@ -144,7 +171,7 @@
     if (row == rows_.end()) {
         return nullptr;
     }
-    auto& group = group_of(organisation);
+    auto& group = *row->second.group;
     auto& made =
         organisations_
             .emplace(organisation,
@@ -152,24 +179,11 @@
                          {organisation, group.share, context_, started}, group, no_deadline})
             .first->second;
     group.members.push_back(&made);
-    made.limiter.configure(now, row->second, out);
+    made.limiter.configure(now, row->second.whole, out);
     reschedule(now, made);
     return &made;
 }
 
-void rate_limiter::remove(time_point now, const organisation_id& organisation) {
-    const auto found = organisations_.find(organisation);
-    if (found == organisations_.end()) {
-        return;
-    }
-    auto& entry = found->second;
-    entry.limiter.retire(now);
-    std::erase_if(pending_, [&](const auto& each) { return each.second == &entry; });
-    std::erase(entry.group.members, &entry);
-    organisations_due_.erase({entry.due, &entry});
-    organisations_.erase(found);
-}
-
 /// A holder has the limiters of all organisations of its group: their buckets fill up before the
 /// first request comes.
 void rate_limiter::create_held(time_point now, group_state& group, time_point started,
@@ -177,8 +191,8 @@
     if (!group.share.ledger().holder() || group.members.size() == group.configured) {
         return;
     }
-    for (const auto& [organisation, whole] : rows_) {
-        if (&group_of(organisation) == &group) {
+    for (const auto& [organisation, row] : rows_) {
+        if (row.group == &group) {
             std::ignore = obtain(now, organisation, started, out);
         }
     }
--- a/src/core/membership/member_table.cpp
+++ b/src/core/membership/member_table.cpp
@@ -136,7 +136,7 @@
 }
 
 std::vector<vm_id> member_table::take_list(time_point now, const std::vector<vm_entry>& list,
-                                           std::uint64_t version, bool first) {
+                                           std::uint64_t version, bool presume) {
     std::vector<vm_id> changed;
     if (version < list_version_) {
         return changed;
@@ -148,7 +148,7 @@
         member_update update{entry, {}, 0, member_health::alive, version, true};
         auto* known = find(entry.vm);
         auto& record = known == nullptr ? add(now, update) : *known;
-        record.presumed = record.presumed || (first && known == nullptr);
+        record.presumed = record.presumed || (presume && record.incarnation.value() == 0);
         if (merge_listing(record, update) || known == nullptr) {
             changed.push_back(entry.vm);
         }
--- a/src/core/membership/membership_list.cpp
+++ b/src/core/membership/membership_list.cpp
@@ -46,12 +46,15 @@
 
 void membership::list_failed(time_point now) {
     list_pending_ = false;
-    std::uniform_int_distribution<duration::rep> spread_over{list_back_off_.count() / 2,
-                                                             list_back_off_.count()};
-    list_at_ = now + duration{spread_over(random_)};
+    list_at_ = now + jittered(list_back_off_);
     list_back_off_ = std::min(2 * list_back_off_, settings_.retry_ceiling);
 }
 
+duration membership::jittered(duration longest) {
+    std::uniform_int_distribution<duration::rep> spread_over{longest.count() / 2, longest.count()};
+    return duration{spread_over(random_)};
+}
+
 std::size_t membership::find_delegate_rank() const {
     const auto chosen = delegates(delegate_task, settings_.self.place.domain, live_,
                                   settings_.delegates_per_domain);
@@ -78,11 +81,13 @@
     if (list_pending_ || now < list_at_) {
         return;
     }
-    if (!list_read_ || needs_store_evidence(now)) {
+    if (!list_read_ || needs_store_evidence(now) || now >= list_reread_at_) {
+        list_reread_at_ = no_deadline;
         read_list(now, duration{0}, out);
         return;
     }
     if (delegate_rank_ < settings_.delegates_per_domain) {
+        list_reread_at_ = no_deadline; // The held call tells what changes.
         read_list(now, settings_.list_wait, out);
     }
 }
@@ -106,13 +111,18 @@
     }
     list_back_off_ = settings_.retry_floor;
     if (newer && answer.version >= list_version_) {
-        const auto changed = table_.take_list(now, answer.vms, answer.version, !list_read_);
+        // While this VM starts, it takes the listed VMs for live, and the others that start with
+        // it read the list themselves.
+        const bool joining = !list_read_ || now - *started_ < settings_.joining_for;
+        const auto changed = table_.take_list(now, answer.vms, answer.version, joining);
         for (const auto& vm : changed) {
             changed_ = true;
-            if (list_read_) {
+            if (!joining) {
                 spread(*table_.find(vm));
             }
         }
+        const bool again = joining && !changed.empty();
+        list_reread_at_ = again ? now + jittered(settings_.list_reread) : no_deadline;
         list_at_ = list_read_ ? now + settings_.list_pause : now;
         list_version_ = answer.version;
         list_read_ = true;
--- a/src/core/membership/placement.cpp
+++ b/src/core/membership/placement.cpp
@@ -24,6 +24,25 @@
                                      : left.second->vm > right.second->vm;
 }
 
+template <class Predicate>
+std::vector<vm_id> first_ranked(std::string_view key, std::span<const vm_entry> live,
+                                std::size_t count, Predicate accepts) {
+    std::vector<weighted_vm> candidates;
+    for (const auto& vm : live) {
+        if (is_eligible(vm) && accepts(vm)) {
+            candidates.emplace_back(rendezvous_weight(key, vm.vm.str()), &vm);
+        }
+    }
+    count = std::min(count, candidates.size());
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count),
+                      candidates.end(), heavier);
+    std::vector<vm_id> ranked;
+    for (std::size_t i = 0; i < count; ++i) {
+        ranked.push_back(candidates[i].second->vm);
+    }
+    return ranked;
+}
+
 template <class Predicate>
 std::optional<vm_id> heaviest(std::string_view key, std::span<const vm_entry> live,
                               Predicate accepts) {
@@ -80,22 +99,15 @@
 
 std::vector<vm_id> delegates(std::string_view key, const failure_domain_id& domain,
                              std::span<const vm_entry> live, std::size_t count) {
-    std::vector<weighted_vm> candidates;
-    for (const auto& vm : live) {
-        if (is_eligible(vm) && vm.place.domain == domain) {
-            candidates.emplace_back(rendezvous_weight(key, vm.vm.str()), &vm);
-        }
-    }
-    count = std::min(count, candidates.size());
-    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count),
-                      candidates.end(), heavier);
-    std::vector<vm_id> ranked;
-    for (std::size_t i = 0; i < count; ++i) {
-        ranked.push_back(candidates[i].second->vm);
-    }
-    return ranked;
+    return first_ranked(key, live, count,
+                        [&](const vm_entry& vm) { return vm.place.domain == domain; });
 }
 
+std::vector<vm_id> region_delegates(std::string_view key, const region_id& region,
+                                    std::span<const vm_entry> live, std::size_t count) {
+    return first_ranked(key, live, count,
+                        [&](const vm_entry& vm) { return vm.place.region == region; });
+}
 std::vector<vm_id> share_holders(const share_group_id& group, std::span<const vm_entry* const> live,
                                  std::size_t per_domain, std::size_t most) {
     std::vector<weighted_vm> ranked;
--- a/src/core/sessions/backend_directory.cpp
+++ b/src/core/sessions/backend_directory.cpp
@@ -8,16 +8,15 @@
 
 bool backend_directory::update(time_point now, time_point read_at, std::uint64_t version,
                                const std::vector<backend_registration>& registrations) {
-    if (known_ && version < version_) {
+    if (known_ && version < read_version_) {
         return false;
     }
     if (known_ && read_at - read_at_ > settings_.outage_gap) {
         grace_until_ = now + settings_.return_grace;
     }
-    known_ = true;
-    version_ = version;
+    bool changed = !std::exchange(known_, true);
+    read_version_ = version;
     read_at_ = std::max(read_at_, read_at);
-    bool changed = false;
     std::set<backend_server_id> present;
     for (const auto& registration : registrations) {
         present.insert(registration.backend);
@@ -44,12 +43,14 @@
         changed = true;
         it = entries_.erase(it);
     }
+    version_ = changed ? version : version_;
     return changed;
 }
 
-void backend_directory::confirm(time_point now, time_point read_at, std::uint64_t version) {
-    if (known_ && version == version_) {
-        update(now, read_at, version, registrations());
+void backend_directory::confirm(time_point now, time_point read_at, std::uint64_t changed,
+                                std::uint64_t read) {
+    if (known_ && changed <= version_ && read >= version_) {
+        update(now, read_at, std::max(read, read_version_), registrations());
     }
 }
 
--- a/src/core/sessions/promotion_duty.cpp
+++ b/src/core/sessions/promotion_duty.cpp
@@ -117,7 +117,7 @@
         send(now, *own.old_primary, command_kind::step_down, own.target, out);
     } else {
         own.step_until = now + settings_.second_opinion;
-        observer_.ask_other_domains(now, out);
+        observer_.ask_other_domains(now, {group}, out);
     }
     attempts_[group] = std::move(own);
 }
@@ -129,7 +129,7 @@
         advance_confirm(now, group, own, out);
         break;
     case phase::step_down:
-        advance_step_down(now, own, out);
+        advance_step_down(now, group, own, out);
         break;
     case phase::catch_up:
         advance_catch_up(now, group, own, out);
@@ -158,7 +158,7 @@
     if (now < own.step_until && !others_agree) {
         if (now >= own.next_status) {
             own.next_status = now + settings_.second_opinion / 4;
-            observer_.ask_other_domains(now, out);
+            observer_.ask_other_domains(now, {group}, out);
         }
         return;
     }
@@ -172,7 +172,8 @@
     begin_hold(now, group, own, out);
 }
 
-void promotion_duty::advance_step_down(time_point now, attempt& own, proxy_output& out) {
+void promotion_duty::advance_step_down(time_point now, const group_id& group, attempt& own,
+                                       proxy_output& out) {
     if (own.wanted) {
         own.step = phase::catch_up;
         own.step_until = now + settings_.catch_up_limit;
@@ -181,7 +182,7 @@
         own.planned = false;
         own.step = phase::confirm;
         own.step_until = now + settings_.second_opinion;
-        observer_.ask_other_domains(now, out);
+        observer_.ask_other_domains(now, {group}, out);
     }
 }
 
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -145,6 +145,7 @@
         promotion_.on_control(now, answer, out);
     }
     settle_statements(now, out);
+    observer_.query_awaited(now, out);
     report_readiness(out);
     if (leaving_) {
         finish_leaving(now, out);
--- a/src/core/sessions/statement_placement.cpp
+++ b/src/core/sessions/statement_placement.cpp
@@ -70,6 +70,7 @@
             return true;
         }
         if (!leadership.confirmed(now)) {
+            state_.awaited.insert(routes_.at(session.id).group);
             return false;
         }
     }
@@ -79,7 +80,12 @@
 
 bool statement_executor::place_on_primary(time_point now, caller_session& session,
                                           proxy_output& out) {
-    const auto& leadership = state_.leadership(routes_.at(session.id).group);
+    const auto& group = routes_.at(session.id).group;
+    const auto& leadership = state_.leadership(group);
+    const auto oldest = std::min(leadership.confirmed_at(), leadership.primary_seen());
+    if (oldest == time_point::min() || now - oldest > settings_.evidence_refresh) {
+        state_.awaited.insert(group);
+    }
     if (!leadership.confirmed(now) || now - leadership.primary_seen() > settings_.primary_silence ||
         !gateway_.open(now, *leadership.primary())) {
         return false;
@@ -152,6 +158,9 @@
 
 bool statement_executor::place_read(time_point now, caller_session& session, proxy_output& out) {
     const auto wanted = required_point(now, session);
+    if (!wanted) {
+        state_.awaited.insert(routes_.at(session.id).group);
+    }
     const auto chosen = choose_backend(candidates(now, session, wanted), settings_.choice);
     if (!chosen) {
         return false;
--- a/src/core/sessions/statement_results.cpp
+++ b/src/core/sessions/statement_results.cpp
@@ -81,6 +81,7 @@
         return;
     }
     if (leadership.term() == work.leader && now < work.answered + settings_.confirmation_limit) {
+        state_.awaited.insert(routes_.at(session.id).group);
         return;
     }
     const auto connection = work.held->lease;
--- a/tests/core/backend_directory_test.cpp
+++ b/tests/core/backend_directory_test.cpp
@@ -42,5 +42,41 @@
     EXPECT_EQ(directory.find(backend_server_id{"p"})->leaving_since, at(0));
 }
 
+/// Guards against a list that is sent again to every VM after each heartbeat of a server: these
+/// raise the registry's version without a change.
+TEST(BackendDirectory, VersionIsThatOfTheLastChange) {
+    backend_directory directory;
+    directory.update(at(0), at(0), 5, {registration("p")});
+    EXPECT_FALSE(directory.update(at(900), at(900), 9, {registration("p")}));
+    EXPECT_EQ(directory.version(), 5U);
+    EXPECT_EQ(directory.read_version(), 9U);
+    directory.update(at(1800), at(1800), 12, {registration("p"), registration("r1")});
+    EXPECT_EQ(directory.version(), 12U);
+}
+
+struct confirmation_case {
+    const char* name;
+    std::uint64_t changed;
+    std::uint64_t read;
+    bool confirmed;
+};
+
+class DirectoryConfirmations : public ::testing::TestWithParam<confirmation_case> {};
+
+/// Guards against a list that counts as current although another VM has seen a later change.
+TEST_P(DirectoryConfirmations, HoldOnlyForTheSameList) {
+    backend_directory directory;
+    directory.update(at(0), at(0), 5, {registration("p")});
+    directory.confirm(at(900), at(800), GetParam().changed, GetParam().read);
+    EXPECT_EQ(directory.read_at(), GetParam().confirmed ? at(800) : at(0));
+}
+
+INSTANTIATE_TEST_SUITE_P(Directory, DirectoryConfirmations,
+                         ::testing::Values(confirmation_case{"same", 5, 9, true},
+                                           confirmation_case{"seen_earlier", 4, 9, true},
+                                           confirmation_case{"later_change", 7, 9, false},
+                                           confirmation_case{"older_reading", 3, 4, false}),
+                         [](const auto& tested) { return std::string{tested.param.name}; });
+
 } // namespace
 } // namespace jackdawvane
--- /dev/null
+++ b/tests/core/group_observer_test.cpp
@@ -0,0 +1,202 @@
+#include "jackdawvane/sessions/group_observer.hpp"
+
+#include <utility>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "session_fixture.hpp"
+#include <gtest/gtest.h>
+
+namespace jackdawvane {
+namespace {
+
+using testing::at;
+using testing::point;
+using testing::primary_status;
+using testing::registration;
+using testing::replica_status;
+
+constexpr std::size_t vm_count = 60;
+constexpr std::size_t group_count = 20;
+
+std::string two_digits(std::size_t value) {
+    return std::to_string(value / 10) + std::to_string(value % 10);
+}
+
+group_id group_at(std::size_t index) {
+    return group_id{"g" + two_digits(index)};
+}
+
+/// One region of VMs that know each other and the members of all groups.
+std::vector<vm_entry> region() {
+    std::vector<vm_entry> live;
+    for (std::size_t i = 0; i < vm_count; ++i) {
+        live.push_back({vm_id{"vm" + two_digits(i)},
+                        {"10.0.0." + std::to_string(i), 1},
+                        {"10.0.0." + std::to_string(i), 2},
+                        {region_id{"r"}, failure_domain_id{"d" + std::to_string(i % 3)}},
+                        vm_state::live});
+    }
+    return live;
+}
+
+std::vector<backend_registration> registry() {
+    std::vector<backend_registration> all;
+    for (std::size_t i = 0; i < group_count; ++i) {
+        for (const char* member : {"a", "b", "c"}) {
+            auto entry = registration((group_at(i).str() + member).c_str());
+            entry.group = group_at(i);
+            entry.domain = failure_domain_id{"d0"};
+            all.push_back(entry);
+        }
+    }
+    return all;
+}
+
+/// The observer part of one VM.
+struct observing_vm {
+    explicit observing_vm(std::size_t index) : observer{state, {}, connections, requests} {
+        state.live = region();
+        state.self = state.live[index];
+        state.fleet_version = 1;
+        for (const char* domain : {"d0", "d1", "d2"}) {
+            state.regions[failure_domain_id{domain}] = region_id{"r"};
+        }
+        auto document = std::make_shared<configuration_document>();
+        document->organisations[organisation_id{"o"}] = {};
+        state.configuration = document;
+        state.directory.update(at(0), at(0), 1, registry());
+        state.follow_directory();
+    }
+
+    proxy_output tick(time_point now) {
+        proxy_output out;
+        observer.tick(now, out);
+        observer.query_awaited(now, out);
+        return out;
+    }
+
+    static std::vector<send_to_peer> queries(const proxy_output& out) {
+        std::vector<send_to_peer> found;
+        for (const auto& each : out.common) {
+            const auto* sent = std::get_if<send_to_peer>(&each);
+            if (sent != nullptr && std::holds_alternative<observation_query>(sent->message)) {
+                found.push_back(*sent);
+            }
+        }
+        return found;
+    }
+    static std::size_t opened(const proxy_output& out) {
+        return static_cast<std::size_t>(
+            std::count_if(out.sessions.begin(), out.sessions.end(), [](const auto& each) {
+                return std::holds_alternative<open_member>(each);
+            }));
+    }
+
+    fleet_state state;
+    id_sequence<connection_id> connections;
+    id_sequence<request_id> requests;
+    group_observer observer;
+};
+
+/// Guards against an observation whose connections or statuses grow with the fleet, and against
+/// one VM that observes everything.
+TEST(GroupObserver, EachGroupHasOneObserverInARegion) {
+    std::size_t connections = 0;
+    std::size_t most = 0;
+    for (std::size_t i = 0; i < vm_count; ++i) {
+        observing_vm vm{i};
+        const auto opened = observing_vm::opened(vm.tick(at(10)));
+        connections += opened;
+        most = std::max(most, opened);
+    }
+    EXPECT_EQ(connections, group_count * 3);
+    EXPECT_LE(most, 4U * 3U);
+}
+
+/// Guards against questions without need: a VM with few callers would ask more than it serves.
+TEST(GroupObserver, AsksOnlyAboutGroupsThatStatementsWaitFor) {
+    observing_vm vm{7};
+    std::size_t questions = 0;
+    for (int ms = 0; ms < 10'000; ms += 25) {
+        for (const auto& sent : observing_vm::queries(vm.tick(at(ms)))) {
+            const auto& query = std::get<observation_query>(sent.message);
+            EXPECT_TRUE(query.groups.empty());
+            ++questions;
+            proxy_output out;
+            observation_reply reply;
+            reply.number = query.number;
+            reply.directory_version = 1;
+            reply.directory_read_version = 1;
+            vm.observer.on_answer(at(ms), sent.vm, reply, out);
+        }
+    }
+    EXPECT_LE(questions, 12U);
+    vm.state.awaited = {group_at(3), group_at(4)};
+    std::set<group_id> asked;
+    for (const auto& sent : observing_vm::queries(vm.tick(at(10'000)))) {
+        const auto& groups = std::get<observation_query>(sent.message).groups;
+        asked.insert(groups.begin(), groups.end());
+    }
+    EXPECT_EQ(asked, (std::set<group_id>{group_at(3), group_at(4)}));
+    vm.state.awaited = {group_at(3)};
+    EXPECT_TRUE(observing_vm::queries(vm.tick(at(10'010))).empty()) << "asked again at once";
+}
+
+/// Guards against VMs that all begin to observe a group, because the one that they ask does not
+/// see itself as its observer.
+TEST(GroupObserver, VmThatIsAskedBeginsToObserve) {
+    observing_vm vm{7};
+    const auto other = vm.state.live[8].vm;
+    const auto own = observing_vm::opened(vm.tick(at(0)));
+    proxy_output out;
+    vm.observer.on_query(at(10), other, {1, 1, {group_at(3)}}, out);
+    EXPECT_EQ(observing_vm::opened(vm.tick(at(10))), own == 0 ? 3U : 0U);
+    const auto later = vm.tick(at(4'000));
+    const auto closed =
+        std::count_if(later.sessions.begin(), later.sessions.end(),
+                      [](const auto& each) { return std::holds_alternative<close_member>(each); });
+    EXPECT_GE(closed, own == 0 ? 3 : 0);
+}
+
+/// Guards against a first answer that does not allow a read: the position of the primary counts
+/// only with a proof, and the answer may name the primary first.
+TEST(GroupObserver, OneAnswerProvesThePrimaryAndItsPosition) {
+    observing_vm vm{7};
+    vm.state.awaited = {group_at(3)};
+    const auto sent = observing_vm::queries(vm.tick(at(100)));
+    const auto asked = std::find_if(sent.begin(), sent.end(), [](const auto& each) {
+        return !std::get<observation_query>(each.message).groups.empty();
+    });
+    ASSERT_NE(asked, sent.end());
+    observation_reply reply;
+    reply.number = std::get<observation_query>(asked->message).number;
+    const auto g = group_at(3);
+    reply.members = {{backend_server_id{"g03a"}, g, primary_status(1, point(1, 5)), duration{0}},
+                     {backend_server_id{"g03b"}, g, replica_status(1, point(1, 5)), duration{0}}};
+    proxy_output out;
+    vm.observer.on_answer(at(101), asked->vm, reply, out);
+    EXPECT_TRUE(vm.state.leadership(g).confirmed(at(101)));
+    EXPECT_TRUE(vm.state.leadership(g).point_since(at(100)));
+}
+
+/// Guards against a VM that goes on asking an observer which does not answer.
+TEST(GroupObserver, SilentObserverIsPassedOver) {
+    observing_vm vm{7};
+    std::set<vm_id> asked;
+    for (int ms = 0; ms < 1'000; ms += 25) {
+        vm.state.awaited = {group_at(3)};
+        for (const auto& sent : observing_vm::queries(vm.tick(at(ms)))) {
+            if (!std::get<observation_query>(sent.message).groups.empty()) {
+                asked.insert(sent.vm);
+            }
+        }
+    }
+    EXPECT_GE(asked.size(), 3U);
+}
+
+} // namespace
+} // namespace jackdawvane
