Judge the silence of a primary by what other servers answered meanwhile

Since evidence is asked for on demand, a VM that gets the promotion duty knows primaries only as of its last statement, and took that age for silence; the landed code has the same fault where the holder is short of processor time, because answers that it has not read yet count as missing. The second opinions to all VMs went unanswered in the same moment and marked every VM as silent.

Ruled out: a longer silence (delays each real failover); the lateness of the holder's own timer (timers are served between the events of a backlog, so it shows nothing).

Change: a primary has been silent from the last question that it answered to the newest question that any server has answered, and not from before the VM held the duty. A question for a second opinion that gets no answer does not count against the VM that was asked. A VM that starts reads the VM list again only while a reading brings a twentieth of new entries.

--- a/include/jackdawvane/membership/membership.hpp
+++ b/include/jackdawvane/membership/membership.hpp
@@ -33,10 +33,10 @@
     /// Interval of extra messages while there is news to spread.
     duration gossip_interval{std::chrono::milliseconds{200}};
     duration list_wait{std::chrono::seconds{30}};
-    /// A VM that has started reads the list again after this until a reading brings nothing new.
+    /// A VM that has started reads the list again after this until a reading brings little new.
     /// In a start of all VMs the first readings show few of them, and news of hundreds of VMs
     /// takes many seconds from VM to VM.
-    duration list_reread{std::chrono::milliseconds{900}};
+    duration list_reread{std::chrono::milliseconds{1200}};
     /// Between a change of the list and the next call: VMs that start together are one change.
     duration list_pause{std::chrono::milliseconds{250}};
     duration retry_floor{std::chrono::milliseconds{200}};
--- a/include/jackdawvane/sessions/group_observer.hpp
+++ b/include/jackdawvane/sessions/group_observer.hpp
@@ -88,6 +88,8 @@
 
     /// @brief Answers to control commands, in their order.
     [[nodiscard]] std::vector<control_answer> take_answers();
+    /// @brief When the newest question that any backend server has answered was sent.
+    [[nodiscard]] time_point heard() const noexcept { return heard_; }
     /// @brief When a try to reach @a backend last failed for lack of a listener.
     [[nodiscard]] time_point refused_at(const backend_server_id& backend) const;
 
@@ -134,7 +136,7 @@
     void expire_queries(time_point now, proxy_output& out);
     void query_directory(time_point now, proxy_output& out);
     void send_query(time_point now, const vm_id& to, std::vector<group_id> groups,
-                    proxy_output& out);
+                    bool second_opinion, proxy_output& out);
     void judge_answer(time_point now, const vm_id& from, const observation_reply& reply,
                       const std::vector<group_id>& groups);
     void take_directory(time_point now, time_point asked, const vm_id& from,
@@ -151,6 +153,7 @@
     std::map<backend_server_id, observation> observations_;
     std::map<backend_server_id, time_point> refused_elsewhere_;
     std::vector<control_answer> answers_;
+    time_point heard_{};
 
     bool always_active_{false};
     std::set<group_id> observed_; ///< Groups whose members this VM asks.
@@ -166,6 +169,7 @@
         vm_id to;
         time_point at;
         std::vector<group_id> groups;
+        bool second_opinion{false}; ///< To a VM that need not be an observer.
     };
     std::map<std::uint64_t, open_query> queries_;
     std::uint64_t query_number_{0};
--- a/include/jackdawvane/sessions/promotion_duty.hpp
+++ b/include/jackdawvane/sessions/promotion_duty.hpp
@@ -76,6 +76,7 @@
         backend_server_id candidate;
     };
 
+    [[nodiscard]] duration silence_of(const group_leadership& leadership) const;
     [[nodiscard]] std::optional<std::string> reason_for(time_point now, const group_id& group,
                                                         bool& planned);
     void start(time_point now, const group_id& group, std::string reason, bool planned,
@@ -100,6 +101,7 @@
     group_observer& observer_;
     duty_lease& lease_;
     promotion_duty_settings settings_;
+    time_point judges_since_{}; ///< Since when this VM asks all servers as holder of the duty.
     std::map<group_id, attempt> attempts_;
     std::set<group_id> finished_;                ///< Attempts to erase after the present round.
     std::map<group_id, time_point> unled_since_; ///< Groups without a known primary.
--- a/src/core/membership/membership_list.cpp
+++ b/src/core/membership/membership_list.cpp
@@ -22,6 +22,9 @@
 /// A long poll answered sooner than this without a newer list counts as failed.
 constexpr duration shortest_hold = std::chrono::seconds{1};
 
+/// A list with fewer new VMs than this part of it is not read again; gossip brings the others.
+constexpr std::size_t reread_divisor = 20;
+
 /// Age of the last evidence of the store at which a VM asks it itself, by its rank among the
 /// delegates. The first delegate's answer reaches the others by their probes' store age before
 /// these ask, and all ask in time for an answer before the isolation time.
@@ -121,7 +124,7 @@
                 spread(*table_.find(vm));
             }
         }
-        const bool again = joining && !changed.empty();
+        const bool again = joining && changed.size() * reread_divisor > answer.vms.size();
         list_reread_at_ = again ? now + jittered(settings_.list_reread) : no_deadline;
         list_at_ = list_read_ ? now + settings_.list_pause : now;
         list_version_ = answer.version;
--- a/src/core/sessions/group_observer.cpp
+++ b/src/core/sessions/group_observer.cpp
@@ -290,6 +290,7 @@
     answers_.push_back({backend, command.kind, replied.status});
     const auto* entry = state_.directory.find(backend);
     if (replied.status && entry != nullptr) {
+        heard_ = std::max(heard_, command.at);
         observations_[backend] = {command.at, replied.status};
         state_.leadership(entry->registration.group)
             .on_status(now, command.at, backend, *replied.status);
@@ -305,6 +306,10 @@
             continue;
         }
         const auto& vm = it->second.to;
+        if (it->second.second_opinion) {
+            it = queries_.erase(it);
+            continue;
+        }
         if (!silent(now, vm)) {
             log(out.common, log_part, log_level::warning,
                 "observer silent vm=" + vm.str() +
@@ -320,7 +325,7 @@
         return;
     }
     next_directory_query_ = now + settings_.directory_query_interval;
-    send_query(now, reader_, {}, out);
+    send_query(now, reader_, {}, false, out);
 }
 
 void group_observer::query_awaited(time_point now, proxy_output& out) {
@@ -337,19 +342,19 @@
         }
     }
     for (auto& [vm, groups] : queries) {
-        send_query(now, vm, std::move(groups), out);
+        send_query(now, vm, std::move(groups), false, out);
         due_ = std::min(due_, now + settings_.query_limit);
     }
 }
 
 void group_observer::send_query(time_point now, const vm_id& to, std::vector<group_id> groups,
-                                proxy_output& out) {
+                                bool second_opinion, proxy_output& out) {
     const auto* vm = state_.find_vm(to);
     if (vm == nullptr) {
         return;
     }
     observation_query query{++query_number_, state_.directory.version(), groups};
-    queries_[query_number_] = {to, now, std::move(groups)};
+    queries_[query_number_] = {to, now, std::move(groups), second_opinion};
     out.common.emplace_back(send_to_peer{to, vm->peer, peer_channel::stream, std::move(query)});
 }
 
@@ -368,7 +373,7 @@
     }
     asked.erase(state_.self.vm);
     for (const auto& vm : asked) {
-        send_query(now, vm, groups, out);
+        send_query(now, vm, groups, true, out);
     }
 }
 
@@ -411,7 +416,9 @@
     }
     const auto query = std::move(found->second);
     queries_.erase(found);
-    judge_answer(now, from, reply, query.groups);
+    if (!query.second_opinion) {
+        judge_answer(now, from, reply, query.groups);
+    }
     take_directory(now, query.at, from, reply, out);
     // The primary tells the term that the replicas' statuses prove, and its position is taken only
     // with a proof.
--- a/src/core/sessions/promotion_duty.cpp
+++ b/src/core/sessions/promotion_duty.cpp
@@ -35,6 +35,7 @@
         }
         attempts_.clear();
         unled_since_.clear();
+        judges_since_ = now;
         return;
     }
     for (const auto& group : state_.directory.groups()) {
@@ -55,6 +56,13 @@
     settle_members(now, out);
 }
 
+/// How long the primary has been silent while other servers answered this VM. Before this VM held
+/// the duty it did not ask all of them. When it is short of processor time or cut off, the answers
+/// of all are late, which says nothing of the primary.
+duration promotion_duty::silence_of(const group_leadership& leadership) const {
+    return observer_.heard() - std::max(leadership.primary_seen(), judges_since_);
+}
+
 std::optional<std::string> promotion_duty::reason_for(time_point now, const group_id& group,
                                                       bool& planned) {
     const auto& leadership = state_.leadership(group);
@@ -72,7 +80,7 @@
     }
     unled_since_.erase(group);
     const auto* entry = state_.directory.find(*primary);
-    const auto unheard = now - leadership.primary_seen();
+    const auto unheard = silence_of(leadership);
     if (entry == nullptr) {
         return unheard > settings_.primary_silence || leadership.primary_seen() == time_point::min()
                    ? std::optional<std::string>{"primary is not registered"}
--- a/tests/core/promotion_duty_test.cpp
+++ b/tests/core/promotion_duty_test.cpp
@@ -177,6 +177,34 @@
     EXPECT_TRUE(promotions.empty());
 }
 
+/// Guards against a holder that takes its own lack of processor time, or a cut of its own, for the
+/// silence of every primary.
+TEST_F(PromotionDuty, AnswersThatAreAllLateSayNothingOfThePrimary) {
+    run(0, 500);
+    silent = {"p", "r1", "r2"};
+    run(500, 1900);
+    EXPECT_FALSE(duty.busy());
+    EXPECT_FALSE(sent("r1", command_kind::hold));
+}
+
+/// Guards against a new holder that takes the age of what it last needed to know for silence: a VM
+/// without the duty asks only about the groups of its statements.
+TEST_F(PromotionDuty, NewHolderAsksBeforeItJudges) {
+    run(0, 500);
+    lease.paused(out.common);
+    duty.tick(at(520), out);
+    duty.tick(at(4990), out);
+    out.common.clear();
+    lease.tick(at(5000), 0, out.common);
+    ASSERT_FALSE(out.common.empty());
+    const auto id = std::get<store_request>(out.common.front()).id;
+    lease.on_store(at(5001), {id, store_status::ok, {}, 42, {}}, out.common);
+    step(5025);
+    EXPECT_FALSE(duty.busy());
+    run(5050, 6000);
+    EXPECT_FALSE(duty.busy());
+}
+
 // A commit that only the leaving primary has would be lost.
 TEST_F(PromotionDuty, LeavingPrimaryStepsDownBeforeAReplicaIsPromoted) {
     run(0, 500);
