Keep the first lines of each kind in a second with many, and name close reasons in words

Cause: `left_out=132` swallowed the lines of just the second that all VMs lost power in, and `reason=1 problem=5` needs the source to be read.

Change: of each second the first three lines of each part and outcome are written even when the second's lines are used up; the rest is counted by kind. The number of kinds is bounded, and so is the volume. Close reasons and problems are logged by name.

--- a/include/jackdawvane/adapters/decision_logger.hpp
+++ b/include/jackdawvane/adapters/decision_logger.hpp
@@ -55,10 +55,15 @@
 
     /// @brief Writes @a line unless its level is too low or the second's lines are used up.
     ///
-    /// Lines that are left out are counted, and the count is written with the next second.
+    /// The first lines of each kind (part and outcome) are written in any case, so that a second
+    /// with many lines keeps those that explain it. Lines that are left out are counted by kind,
+    /// and the counts are written with the next second.
     void write(const log_decision& line);
 
   private:
+    [[nodiscard]] bool within_limit(const log_decision& line);
+    void report_left_out();
+
     struct backend;
     std::unique_ptr<backend> backend_;
 };
--- a/include/jackdawvane/sessions/ports.hpp
+++ b/include/jackdawvane/sessions/ports.hpp
@@ -49,6 +49,9 @@
     lost,
 };
 
+/// @brief Name of @a reason for logs.
+[[nodiscard]] const char* to_string(close_reason reason) noexcept;
+
 /// @brief A connection to a backend server ended or could not be opened.
 struct member_closed {
     connection_id connection;
--- a/src/adapters/decision_logger.cpp
+++ b/src/adapters/decision_logger.cpp
@@ -2,7 +2,10 @@
 
 #include <utility>
 
+#include <algorithm>
+#include <cctype>
 #include <chrono>
+#include <map>
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
@@ -16,8 +19,26 @@
 
 constexpr long file_size_limit = 10L * 1024 * 1024; // bytes
 constexpr int kept_files = 3;
+/// Lines of each kind that are written in a second in which the others have used up its lines.
+constexpr std::uint32_t kept_of_a_kind = 3;
+/// More kinds of lines than the parts have; the rest of a second counts together.
+constexpr std::size_t most_kinds = 96;
 constexpr auto line_pattern = "%D{%Y-%m-%dT%H:%M:%S.%q} %p %m%n";
 
+struct line_counts {
+    std::uint32_t written{0};
+    std::uint64_t left_out{0};
+};
+
+/// Part and outcome of a line. A first word with digits names a subject, not an outcome.
+std::string kind_of(const log_decision& line) {
+    const auto word = line.text.substr(0, line.text.find(' '));
+    const bool outcome = std::all_of(word.begin(), word.end(), [](unsigned char each) {
+        return std::isalpha(each) != 0 || each == '_';
+    });
+    return outcome ? line.part + ("." + word) : line.part;
+}
+
 log4cplus::LogLevel to_log4cplus(log_level level) noexcept {
     switch (level) {
     case log_level::debug:
@@ -50,7 +71,7 @@
     std::uint32_t limit{0}; ///< Lines per second; 0 for all.
     std::chrono::steady_clock::time_point second{};
     std::uint32_t written{0};
-    std::uint64_t left_out{0};
+    std::map<std::string, line_counts> kinds;
 };
 
 decision_logger::decision_logger(const log_settings& settings) {
@@ -77,13 +98,9 @@
     if (now - backend_->second >= std::chrono::seconds{1}) {
         backend_->second = now;
         backend_->written = 0;
-        if (const auto left_out = std::exchange(backend_->left_out, 0); left_out > 0) {
-            backend_->logger.forcedLog(log4cplus::WARN_LOG_LEVEL,
-                                       "[log] left_out=" + std::to_string(left_out));
-        }
+        report_left_out();
     }
-    if (backend_->limit > 0 && ++backend_->written > backend_->limit) {
-        ++backend_->left_out;
+    if (backend_->limit > 0 && !within_limit(line)) {
         return;
     }
     std::string text{"["};
@@ -93,4 +110,35 @@
     backend_->logger.forcedLog(level, text);
 }
 
+bool decision_logger::within_limit(const log_decision& line) {
+    auto& kinds = backend_->kinds;
+    auto kind = kind_of(line);
+    if (kinds.size() >= most_kinds && !kinds.contains(kind)) {
+        kind = "other";
+    }
+    auto& counts = kinds[kind];
+    if (backend_->written >= backend_->limit && counts.written >= kept_of_a_kind) {
+        ++counts.left_out;
+        return false;
+    }
+    ++counts.written;
+    ++backend_->written;
+    return true;
+}
+
+void decision_logger::report_left_out() {
+    std::uint64_t sum = 0;
+    std::string by_kind;
+    for (const auto& [kind, counts] : std::exchange(backend_->kinds, {})) {
+        sum += counts.left_out;
+        if (counts.left_out > 0) {
+            by_kind += " " + kind + "=" + std::to_string(counts.left_out);
+        }
+    }
+    if (sum > 0) {
+        backend_->logger.forcedLog(log4cplus::WARN_LOG_LEVEL,
+                                   "[log] left_out=" + std::to_string(sum) + by_kind);
+    }
+}
+
 } // namespace jackdawvane
--- a/src/core/sessions/backend_sessions.cpp
+++ b/src/core/sessions/backend_sessions.cpp
@@ -232,8 +232,7 @@
         log(out.common, log_part, log_level::info,
             "closed backend=" + own.backend.str() + " open=" + (own.open ? "1" : "0") +
                 " waiting=" + std::to_string(own.waiting.size()) +
-                " reason=" + std::to_string(static_cast<int>(closed.reason)) +
-                " problem=" + std::to_string(static_cast<int>(closed.problem)));
+                " reason=" + to_string(closed.reason) + " problem=" + to_string(closed.problem));
     }
     fail_open_attempts(closed.connection, own, closed);
     erase(closed.connection);
