Split the observer's questions from its observation

Change: group_observer_queries.cpp has what VMs ask each other; the name is a constant of the class. No behaviour changes; the unit tests pass as before.

--- a/include/jackdawvane/sessions/group_observer.hpp
+++ b/include/jackdawvane/sessions/group_observer.hpp
@@ -58,6 +58,10 @@
 /// over, so an observer that dies is replaced before its proofs run out.
 class group_observer {
   public:
+    /// @brief Task name under which VMs are ranked as readers of the registry and, with the name of
+    /// a group, as its observers.
+    static constexpr const char* task = "observer";
+
     group_observer(fleet_state& state, observer_settings settings,
                    id_sequence<connection_id>& connections, id_sequence<request_id>& requests);
 
@@ -121,7 +125,7 @@
     void choose_roles(time_point now);
     /// First VM of @a ranked that is not silent; empty when this VM comes first or all are silent.
     [[nodiscard]] vm_id first_answering(time_point now, const std::vector<vm_id>& ranked) const;
-    [[nodiscard]] const std::vector<vm_id>& ranked_for(const std::string& task);
+    [[nodiscard]] const std::vector<vm_id>& ranked_for(const std::string& subject);
     [[nodiscard]] vm_id observer_of(time_point now, const group_id& group);
     void read_directory(time_point now, proxy_output& out);
     void watch_members(time_point now, proxy_output& out);
--- /dev/null
+++ b/src/core/sessions/group_observer_queries.cpp
@@ -0,0 +1,204 @@
+#include "jackdawvane/membership/placement.hpp"
+#include "jackdawvane/sessions/group_observer.hpp"
+
+#include <utility>
+
+#include <algorithm>
+#include <iterator>
+
+/// @file
+/// @brief What VMs ask each other about backend servers and the registry.
+
+namespace jackdawvane {
+
+namespace {
+
+constexpr const char* log_part = "observer";
+/// VMs of each region that are asked for a second opinion, besides one of each other domain.
+constexpr std::size_t region_observers = 2;
+
+std::set<vm_id> as_set(std::vector<vm_id> vms) {
+    return {std::make_move_iterator(vms.begin()), std::make_move_iterator(vms.end())};
+}
+
+} // namespace
+
+/// A VM that does not answer in time is passed over.
+void group_observer::expire_queries(time_point now, proxy_output& out) {
+    for (auto it = queries_.begin(); it != queries_.end();) {
+        if (now - it->second.at <= settings_.query_limit) {
+            ++it;
+            continue;
+        }
+        const auto& vm = it->second.to;
+        if (it->second.second_opinion) {
+            it = queries_.erase(it);
+            continue;
+        }
+        if (!silent(now, vm)) {
+            log(out.common, log_part, log_level::warning,
+                "observer silent vm=" + vm.str() +
+                    " limit_ms=" + std::to_string(to_milliseconds(settings_.query_limit)));
+        }
+        silent_since_[vm] = now;
+        it = queries_.erase(it);
+    }
+}
+
+void group_observer::query_directory(time_point now, proxy_output& out) {
+    if (reader_.empty() || now < next_directory_query_) {
+        return;
+    }
+    next_directory_query_ = now + settings_.directory_query_interval;
+    send_query(now, reader_, {}, false, out);
+}
+
+void group_observer::query_awaited(time_point now, proxy_output& out) {
+    std::map<vm_id, std::vector<group_id>> queries;
+    for (const auto& group : std::exchange(state_.awaited, {})) {
+        auto& next = next_group_query_[group];
+        if (now < next || observed_.contains(group)) {
+            continue;
+        }
+        const auto observer = observer_of(now, group);
+        if (!observer.empty()) {
+            next = now + settings_.query_interval;
+            queries[observer].push_back(group);
+        }
+    }
+    for (auto& [vm, groups] : queries) {
+        send_query(now, vm, std::move(groups), false, out);
+        due_ = std::min(due_, now + settings_.query_limit);
+    }
+}
+
+void group_observer::send_query(time_point now, const vm_id& to, std::vector<group_id> groups,
+                                bool second_opinion, proxy_output& out) {
+    const auto* vm = state_.find_vm(to);
+    if (vm == nullptr) {
+        return;
+    }
+    observation_query query{++query_number_, state_.directory.version(), groups};
+    queries_[query_number_] = {to, now, std::move(groups), second_opinion};
+    out.common.emplace_back(send_to_peer{to, vm->peer, peer_channel::stream, std::move(query)});
+}
+
+void group_observer::ask_other_domains(time_point now, const std::vector<group_id>& groups,
+                                       proxy_output& out) {
+    next_foreign_query_ = now + settings_.foreign_query_interval;
+    const auto subject = groups.empty() ? std::string{task} : task + ("/" + groups.front().str());
+    std::set<vm_id> asked;
+    for (const auto& [domain, region] : state_.regions) {
+        if (domain != state_.self.place.domain) {
+            asked.merge(as_set(delegates(subject, domain, state_.live, 1)));
+        }
+        // The observers of a region know at once; other VMs begin to ask only now.
+        asked.merge(as_set(region_delegates(subject, region, state_.live, region_observers)));
+    }
+    asked.erase(state_.self.vm);
+    for (const auto& vm : asked) {
+        send_query(now, vm, groups, true, out);
+    }
+}
+
+void group_observer::on_query(time_point now, const vm_id& from, const observation_query& query,
+                              proxy_output& out) {
+    const auto* vm = state_.find_vm(from);
+    if (vm == nullptr) {
+        return;
+    }
+    observation_reply reply;
+    reply.number = query.number;
+    for (const auto& group : query.groups) {
+        asked_until_[group] = now + settings_.asked_memory;
+        due_ = observed_.contains(group) ? due_ : now;
+        for (const auto& backend : state_.directory.members(group)) {
+            const auto own = observations_.find(backend);
+            if (own != observations_.end() &&
+                now - own->second.asked < settings_.silent_observer_memory) {
+                reply.members.push_back(
+                    {backend, group, own->second.status, now - own->second.asked});
+            }
+        }
+    }
+    if (state_.directory.known()) {
+        reply.directory_version = state_.directory.version();
+        reply.directory_read_version = state_.directory.read_version();
+        reply.directory_age = now - state_.directory.read_at();
+        if (query.directory_version < reply.directory_version) {
+            reply.directory = state_.directory.registrations();
+        }
+    }
+    out.common.emplace_back(send_to_peer{from, vm->peer, peer_channel::stream, std::move(reply)});
+}
+
+void group_observer::on_answer(time_point now, const vm_id& from, const observation_reply& reply,
+                               proxy_output& out) {
+    const auto found = queries_.find(reply.number);
+    if (found == queries_.end()) {
+        return;
+    }
+    const auto query = std::move(found->second);
+    queries_.erase(found);
+    if (!query.second_opinion) {
+        judge_answer(now, from, reply, query.groups);
+    }
+    take_directory(now, query.at, from, reply, out);
+    // The primary tells the term that the replicas' statuses prove, and its position is taken only
+    // with a proof.
+    for (const auto role : {backend_role::primary, backend_role::replica, backend_role::primary}) {
+        for (const auto& each : reply.members) {
+            if ((each.status ? each.status->role : backend_role::replica) == role) {
+                take_observation(now, query.at - each.age, each);
+            }
+        }
+    }
+}
+
+/// A VM that answers but reaches no member is passed over, too, after the time in which it can
+/// begin to observe a group.
+void group_observer::judge_answer(time_point now, const vm_id& from, const observation_reply& reply,
+                                  const std::vector<group_id>& groups) {
+    const bool fresh = std::any_of(
+        reply.members.begin(), reply.members.end(),
+        [&](const member_observation& each) { return each.age < settings_.answer_limit; });
+    if (groups.empty() || fresh) {
+        silent_since_.erase(from);
+        ignorant_since_.erase(from);
+        return;
+    }
+    const auto since = ignorant_since_.try_emplace(from, now).first->second;
+    if (now - since > settings_.answer_limit) {
+        silent_since_[from] = now;
+        ignorant_since_.erase(from);
+    }
+}
+
+void group_observer::take_directory(time_point now, time_point asked, const vm_id& from,
+                                    const observation_reply& reply, proxy_output& out) {
+    const auto read_at = asked - reply.directory_age;
+    if (reply.directory.empty()) {
+        state_.directory.confirm(now, read_at, reply.directory_version,
+                                 reply.directory_read_version);
+        return;
+    }
+    if (state_.directory.update(now, read_at, reply.directory_read_version, reply.directory)) {
+        state_.follow_directory();
+        log(out.common, log_part, log_level::info,
+            "registry version=" + std::to_string(reply.directory_version) +
+                " source=" + from.str());
+    }
+}
+
+void group_observer::take_observation(time_point now, time_point asked,
+                                      const member_observation& each) {
+    auto& leadership = state_.leadership(each.group);
+    if (each.status) {
+        leadership.on_status(now, asked, each.backend, *each.status);
+    } else {
+        leadership.on_refused(asked, each.backend);
+        refused_elsewhere_[each.backend] = asked;
+    }
+}
+
+} // namespace jackdawvane
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// Ranks as the observers are ranked, so that the duty holder is one of them.
-constexpr const char* duty_task = "observer";
 /// Resolution of the lease and connection timers.
 constexpr duration slow_tick = std::chrono::milliseconds{50};
 /// Time for the store to take back what this VM holds, when it has no other work left.
@@ -210,7 +208,8 @@
     std::vector<vm_entry> staying;
     std::copy_if(state_.live.begin(), state_.live.end(), std::back_inserter(staying),
                  [](const vm_entry& vm) { return vm.state == vm_state::live; });
-    const auto ranked = rank_vms(duty_task, staying);
+    // Ranks as the readers of the registry are ranked, so that the duty holder is one of them.
+    const auto ranked = rank_vms(group_observer::task, staying);
     const auto own = std::find(ranked.begin(), ranked.end(), settings_.self.vm);
     duty_rank_ = static_cast<std::size_t>(own - ranked.begin());
     log(out.common, "fleet", log_level::info,
