Open no more connections than a server has accepted after it refused one

Cause: a server counts the connections of a VM that has lost power for 3 s. The owner that starts again opened up to its usual limit, every refusal sent a caller's statement back, and it tried again after 25 ms.

Change: after a refusal the owner keeps to the connections that were accepted for a second, and has no more connections in opening than statements in hand. Statements wait in the owner's queue, where organisations are served in turn, and an idle connection of another organisation makes room.

--- a/include/jackdawvane/sessions/backend_sessions.hpp
+++ b/include/jackdawvane/sessions/backend_sessions.hpp
@@ -33,6 +33,9 @@
     duration abandoned_limit{std::chrono::seconds{3}};
     /// After a refusal for lack of capacity nothing more is sent for this long.
     duration busy_pause{std::chrono::milliseconds{25}};
+    /// After a refusal for too many connections no more are opened than were open then, for this
+    /// long. A server keeps those of a VM that has lost power for some seconds.
+    duration ceiling_memory{std::chrono::seconds{1}};
     /// After a failed connection attempt the server is passed over for this long.
     duration failure_pause{std::chrono::milliseconds{250}};
 };
@@ -117,8 +120,11 @@
         bool main_waits_for_open{false};
     };
     struct load {
-        std::uint32_t open{0};
+        std::uint32_t open{0};    ///< Those that are being opened included.
+        std::uint32_t opening{0}; ///< Each takes a slot of the server for some milliseconds.
         std::uint32_t running{0};
+        std::uint32_t ceiling{0}; ///< Connections that the server accepts, until `ceiling_until`.
+        time_point ceiling_until{time_point::min()};
         time_point busy_until{time_point::min()};
         time_point failed_until{time_point::min()};
     };
@@ -132,7 +138,10 @@
     void fail_open_attempts(connection_id id, session& own, const member_closed& closed);
     [[nodiscard]] std::uint32_t connection_part(const backend_registration& backend,
                                                 double part) const;
-    [[nodiscard]] std::uint32_t open_limit(const backend_registration& backend) const;
+    [[nodiscard]] std::uint32_t open_limit(time_point now,
+                                           const backend_registration& backend) const;
+    [[nodiscard]] std::uint32_t window(const backend_registration& backend) const noexcept;
+    void lower_ceiling(time_point now, load& own) const;
     void trim_idle(const backend_registration& backend, proxy_output& out);
     [[nodiscard]] std::uint64_t fit(const session& own, const session_needs& needs) const;
 
--- a/src/core/sessions/backend_session_acquire.cpp
+++ b/src/core/sessions/backend_session_acquire.cpp
@@ -17,8 +17,25 @@
     return std::max(1U, static_cast<std::uint32_t>(limit * part));
 }
 
-std::uint32_t backend_sessions::open_limit(const backend_registration& backend) const {
-    return connection_part(backend, settings_.open_part);
+/// Connections that may be open now. After a refusal it is what the server has accepted: more
+/// tries would each take a slot's time and send a statement back.
+std::uint32_t backend_sessions::open_limit(time_point now,
+                                           const backend_registration& backend) const {
+    const auto limit = connection_part(backend, settings_.open_part);
+    const auto found = loads_.find(backend.backend);
+    const bool lowered = found != loads_.end() && now < found->second.ceiling_until;
+    return lowered ? std::min(limit, found->second.ceiling) : limit;
+}
+
+void backend_sessions::lower_ceiling(time_point now, load& own) const {
+    const auto accepted = own.open - std::min(own.open, own.opening);
+    own.ceiling = now < own.ceiling_until ? std::min(own.ceiling, accepted) : accepted;
+    own.ceiling = std::max(1U, own.ceiling);
+    own.ceiling_until = now + settings_.ceiling_memory;
+}
+
+std::uint32_t backend_sessions::window(const backend_registration& backend) const noexcept {
+    return settings_.window_per_slot * std::max(1U, backend.slots);
 }
 
 /// Closes the idle connection that was heard longest ago when there are too many.
@@ -56,11 +73,12 @@
         return true;
     }
     const auto& own = found->second;
-    const auto window = settings_.window_per_slot * std::max(1U, entry->registration.slots);
-    if (now < own.busy_until || now < own.failed_until || own.running >= window) {
+    const auto limit = window(entry->registration);
+    if (now < own.busy_until || now < own.failed_until || own.running >= limit ||
+        own.opening >= limit) {
         return false;
     }
-    if (own.open < open_limit(entry->registration)) {
+    if (own.open < open_limit(now, entry->registration)) {
         return true;
     }
     // An idle connection of another organisation makes room by closing.
@@ -119,7 +137,7 @@
         return best_id;
     }
     auto& own_load = loads_[backend];
-    if (own_load.open >= open_limit(entry->registration)) {
+    if (own_load.open >= open_limit(now, entry->registration)) {
         if (!oldest_other) {
             return {};
         }
@@ -133,6 +151,7 @@
     own.in_use = true;
     own.opened_at = own.heard = now;
     ++own_load.open;
+    ++own_load.opening;
     out.sessions.emplace_back(
         open_member{id, entry->registration.endpoint, own.group, needs.organisation, backend});
     count(out.common, "member_connections_opened_total");
--- a/src/core/sessions/backend_sessions.cpp
+++ b/src/core/sessions/backend_sessions.cpp
@@ -124,7 +124,10 @@
         return false;
     }
     auto& own = found->second;
-    own.open = true;
+    if (!std::exchange(own.open, true)) {
+        auto& own_load = loads_[own.backend];
+        own_load.opening -= std::min(own_load.opening, 1U);
+    }
     own.heard = now;
     if (std::exchange(own.main_waits_for_open, false) && own.held_main) {
         expect(now, own, expected_kind::main, own.held_attempt);
@@ -224,6 +227,7 @@
     auto& own_load = loads_[own.backend];
     if (closed.problem == statement_error::too_many_connections) {
         own_load.busy_until = now + settings_.busy_pause;
+        lower_ceiling(now, own_load);
         count(out.common, "member_connections_refused_total");
     } else if (!own.open) {
         own_load.failed_until = now + settings_.failure_pause;
@@ -292,6 +296,9 @@
     const auto found = sessions_.find(id);
     auto& own_load = loads_[found->second.backend];
     own_load.open -= std::min(own_load.open, 1U);
+    if (!found->second.open) {
+        own_load.opening -= std::min(own_load.opening, 1U);
+    }
     sessions_.erase(found);
 }
 
