Give a leaving server no new work after a few seconds

A leaving server costs 400 ms in the choice of a server, so it is the last choice, but a choice as long as it is registered; a leaving primary whose promotion is late was used without an end.

Change: 4.5 s after a server was read as leaving it gets no new statement, and no new transaction.

The new test fails without the limit, for reads and for writes.

--- a/include/jackdawvane/sessions/statement_executor.hpp
+++ b/include/jackdawvane/sessions/statement_executor.hpp
@@ -45,6 +45,9 @@
     /// sent ends as unknown, what waits can be refused as not run. Above the status interval, the
     /// question to the observer and the round trips.
     duration primary_silence{std::chrono::milliseconds{700}};
+    /// A backend server gets new work for this long after it was read as leaving. It serves on for
+    /// 7 s at least after it has said so, and the registry is read up to 2 s after that.
+    duration leaving_use{std::chrono::milliseconds{4500}};
     /// Evidence older than this is asked for again with the next statement that needs it, before
     /// it runs out.
     duration evidence_refresh{std::chrono::milliseconds{400}};
@@ -148,6 +151,7 @@
     [[nodiscard]] bool place_in_transaction(time_point now, caller_session& session,
                                             proxy_output& out);
     [[nodiscard]] std::optional<log_point> required_point(time_point now, caller_session& session);
+    [[nodiscard]] bool ends_soon(time_point now, const backend_directory::entry& backend) const;
     [[nodiscard]] std::vector<read_candidate> candidates(time_point now,
                                                          const caller_session& session,
                                                          const std::optional<log_point>& wanted);
--- a/src/core/sessions/statement_placement.cpp
+++ b/src/core/sessions/statement_placement.cpp
@@ -86,6 +86,11 @@
     if (oldest == time_point::min() || now - oldest > settings_.evidence_refresh) {
         state_.awaited.insert(group);
     }
+    const auto* entry =
+        leadership.primary() ? state_.directory.find(*leadership.primary()) : nullptr;
+    if (entry != nullptr && ends_soon(now, *entry)) {
+        return false;
+    }
     if (!leadership.confirmed(now) || now - leadership.primary_seen() > settings_.primary_silence ||
         !gateway_.open(now, *leadership.primary())) {
         return false;
@@ -125,6 +130,13 @@
                : settings_.far_round_trip;
 }
 
+/// A server that has been leaving for a few seconds gets no new work, also when no other has room:
+/// it may end at any moment.
+bool statement_executor::ends_soon(time_point now, const backend_directory::entry& backend) const {
+    return backend.leaving_since != no_deadline &&
+           now - backend.leaving_since > settings_.leaving_use;
+}
+
 std::vector<read_candidate> statement_executor::candidates(time_point now,
                                                            const caller_session& session,
                                                            const std::optional<log_point>& wanted) {
@@ -136,7 +148,7 @@
         const bool primary = leadership.primary() == backend;
         const bool proved_primary = primary && leadership.confirmed(now);
         if (registration.group != group || session.work->tried.contains(backend) ||
-            !gateway_.open(now, backend) || (!wanted && !proved_primary)) {
+            ends_soon(now, entry) || !gateway_.open(now, backend) || (!wanted && !proved_primary)) {
             continue;
         }
         read_candidate candidate;
--- a/tests/core/statement_executor_test.cpp
+++ b/tests/core/statement_executor_test.cpp
@@ -66,6 +66,32 @@
 }
 
 // A read without an answer must not wait for its timeout while another server is idle.
+/// Guards against new work for a server that is about to end: a leaving server was used, as a last
+/// choice, until it was gone.
+TEST_F(StatementExecutor, LeavingServerGetsNoNewWorkAfterAFewSeconds) {
+    std::vector<backend_registration> leaving;
+    for (const char* name : {"p", "r1", "r2"}) {
+        leaving.push_back(testing::registration(name));
+        leaving.back().leaving = true;
+    }
+    fixture.state.directory.update(at(100), at(100), 2, leaving);
+    fixture.prove(4500);
+    fixture.say(4500, read_one());
+    fixture.accept(4501);
+    const auto sent = fixture.commands();
+    ASSERT_EQ(sent.size(), 1U);
+    fixture.reply(4502, sent.front().first, success(transaction_state::idle, point(1, 10)));
+    fixture.prove(4700);
+    fixture.say(4700, read_one());
+    fixture.accept(4701);
+    EXPECT_TRUE(fixture.commands().empty());
+    fixture.prove(5700);
+    fixture.tick(5700); // The read is refused at its timeout.
+    fixture.say(5710, write_one());
+    fixture.accept(5711);
+    EXPECT_TRUE(fixture.commands().empty()) << "neither does a leaving primary";
+}
+
 TEST_F(StatementExecutor, SilentReadIsAlsoSentElsewhere) {
     fixture.say(10, read_one());
     fixture.accept(11);
