Sum up the share groups once for each event of all groups

Cause: settle_all recomputed the next deadline and the holder flag over all groups after each group, so a change of the fleet passed over the groups once for each of them.

Change: limiters follow their group first, the groups are summed up once.

--- a/include/jackdawvane/limits/rate_limiter.hpp
+++ b/include/jackdawvane/limits/rate_limiter.hpp
@@ -107,6 +107,8 @@
     row_map::iterator remove(time_point now, row_map::iterator row, actions& out);
     void settle(time_point now, group_state& group, actions& out);
     void settle_all(time_point now, actions& out);
+    void follow(time_point now, group_state& group, actions& out);
+    void summarise_groups();
     void create_held(time_point now, group_state& group, time_point started, actions& out);
     void reschedule(time_point now, organisation_state& entry);
     [[nodiscard]] std::uint32_t spare_part(time_point now, const group_state& group,
--- a/src/core/limits/rate_limiter.cpp
+++ b/src/core/limits/rate_limiter.cpp
@@ -200,6 +200,18 @@
 
 /// Brings the limiters up to date after an event of their group.
 void rate_limiter::settle(time_point now, group_state& group, actions& out) {
+    follow(now, group, out);
+    summarise_groups();
+}
+
+void rate_limiter::settle_all(time_point now, actions& out) {
+    for (auto& [id, group] : groups_) {
+        follow(now, group, out);
+    }
+    summarise_groups();
+}
+
+void rate_limiter::follow(time_point now, group_state& group, actions& out) {
     if (group.share.take_changed()) {
         create_held(now, group, configured_at_, out);
         for (auto* const each : group.members) {
@@ -208,6 +220,10 @@
         }
     }
     group.due = group.share.next_deadline();
+}
+
+/// Next deadline of all groups, and whether this VM holds a part of any.
+void rate_limiter::summarise_groups() {
     groups_due_ = no_deadline;
     holder_ = false;
     for (const auto& [id, each] : groups_) {
@@ -216,12 +232,6 @@
     }
 }
 
-void rate_limiter::settle_all(time_point now, actions& out) {
-    for (auto& [id, group] : groups_) {
-        settle(now, group, out);
-    }
-}
-
 void rate_limiter::reschedule(time_point now, organisation_state& entry) {
     const auto due = entry.limiter.next_deadline(now);
     if (due == entry.due) {
