Log new work for leaving servers and the age of the registry's list

Change: the directory keeps the last reading that listed a server as staying. New lines: `to_leaving` for each statement that begins at a server known to leave, with the three ages; `leaving` when a VM learns that a server leaves; `registry_unread`, `registry_old` and `registry_current`. New metrics: `registry_age_ms` and `statements_to_leaving_total`. Both ways of taking a list over share one function. No decision changes.

--- a/include/jackdawvane/sessions/backend_directory.hpp
+++ b/include/jackdawvane/sessions/backend_directory.hpp
@@ -25,7 +25,9 @@
     struct entry {
         backend_registration registration;
         time_point leaving_since{no_deadline}; ///< When it was first read as leaving.
-        time_point absent_since{no_deadline};  ///< Missing after an outage of the registry.
+        /// Last reading that listed it as staying; unset when there was none.
+        time_point staying_at{time_point::min()};
+        time_point absent_since{no_deadline}; ///< Missing after an outage of the registry.
     };
 
     explicit backend_directory(directory_settings settings = {}) : settings_{settings} {}
--- a/include/jackdawvane/sessions/group_observer.hpp
+++ b/include/jackdawvane/sessions/group_observer.hpp
@@ -40,6 +40,8 @@
     /// Directory older than this is asked of VMs in other failure domains.
     duration directory_stale{std::chrono::milliseconds{2000}};
     duration foreign_query_interval{std::chrono::milliseconds{500}};
+    /// Between two values of the metric of the directory's age.
+    duration age_report_interval{std::chrono::milliseconds{1000}};
 };
 
 /// @brief Answer to a control command.
@@ -128,6 +130,14 @@
     [[nodiscard]] const std::vector<vm_id>& ranked_for(const std::string& subject);
     [[nodiscard]] vm_id observer_of(time_point now, const group_id& group);
     void read_directory(time_point now, proxy_output& out);
+    /// Takes over a list of the registry that came from @a source.
+    void take_list(time_point now, time_point read_at, std::uint64_t version,
+                   const std::vector<backend_registration>& list, const std::string& source,
+                   proxy_output& out);
+    /// Reports a reading of the registry that failed or got no answer.
+    void report_unread(time_point now, proxy_output& out) const;
+    /// Reports when the list becomes old and when it is current again.
+    void report_age(time_point now, proxy_output& out);
     void watch_members(time_point now, proxy_output& out);
     /// Replica whose statuses prove the primary of @a group.
     [[nodiscard]] backend_server_id witness(const group_id& group) const;
@@ -184,6 +194,8 @@
     bool directory_pending_{false};
     time_point directory_sent_{};
     time_point directory_at_{};
+    bool directory_old_{false}; ///< As last reported.
+    time_point next_age_report_{};
     time_point due_{};
 };
 
--- a/include/jackdawvane/sessions/statement_executor.hpp
+++ b/include/jackdawvane/sessions/statement_executor.hpp
@@ -158,6 +158,8 @@
     [[nodiscard]] bool send(time_point now, caller_session& session,
                             const backend_server_id& backend, std::optional<log_point> after,
                             proxy_output& out);
+    void note_leaving(time_point now, const caller_session& session,
+                      const backend_server_id& backend, proxy_output& out) const;
     void send_on(time_point now, caller_session& session, const backend_server_id& backend,
                  connection_id lease, const std::optional<log_point>& after, bool opens,
                  proxy_output& out);
--- a/src/core/sessions/group_observer.cpp
+++ b/src/core/sessions/group_observer.cpp
@@ -1,5 +1,6 @@
 #include "jackdawvane/sessions/group_observer.hpp"
 
+#include "jackdawvane/foundation/age_text.hpp"
 #include "jackdawvane/membership/placement.hpp"
 
 #include <utility>
@@ -29,6 +30,7 @@
     read_directory(now, out);
     watch_members(now, out);
     query_directory(now, out);
+    report_age(now, out);
     if (state_.directory.known() && now - state_.directory.read_at() > settings_.directory_stale &&
         now >= next_foreign_query_) {
         ask_other_domains(now, {}, out);
@@ -85,6 +87,7 @@
     if (directory_pending_ && now - directory_sent_ > settings_.directory_retry) {
         directory_pending_ = false;
         directory_at_ = now;
+        report_unread(now, out);
     }
     const bool wanted = always_active_ || reader_.empty() || !state_.directory.known();
     if (!wanted || directory_pending_ || now < directory_at_) {
@@ -105,18 +108,56 @@
     directory_pending_ = false;
     if (answer.status != store_status::ok) {
         directory_at_ = now + settings_.directory_retry;
+        report_unread(now, out);
         return true;
     }
     directory_at_ = directory_sent_ + settings_.directory_interval;
-    if (state_.directory.update(now, directory_sent_, answer.version, answer.backends)) {
-        state_.follow_directory();
-        log(out.common, log_part, log_level::info,
-            "registry version=" + std::to_string(answer.version) +
-                " backends=" + std::to_string(answer.backends.size()) + " source=store");
-    }
+    take_list(now, directory_sent_, answer.version, answer.backends, "store", out);
     return true;
 }
 
+void group_observer::take_list(time_point now, time_point read_at, std::uint64_t version,
+                               const std::vector<backend_registration>& list,
+                               const std::string& source, proxy_output& out) {
+    if (!state_.directory.update(now, read_at, version, list)) {
+        return;
+    }
+    state_.follow_directory();
+    log(out.common, log_part, log_level::info,
+        "registry version=" + std::to_string(version) + " backends=" + std::to_string(list.size()) +
+            " source=" + source + " age_ms=" + age_text(now, read_at));
+    for (const auto& [backend, entry] : state_.directory.entries()) {
+        if (entry.leaving_since == now) {
+            log(out.common, log_part, log_level::info,
+                "leaving backend=" + backend.str() + " group=" + entry.registration.group.str() +
+                    " staying_age_ms=" + age_text(now, entry.staying_at) + " source=" + source);
+        }
+    }
+}
+
+void group_observer::report_unread(time_point now, proxy_output& out) const {
+    log(out.common, log_part, log_level::warning,
+        "registry_unread ms=" + std::to_string(to_milliseconds(now - directory_sent_)) +
+            " age_ms=" + age_text(now, state_.directory.read_at()));
+}
+
+void group_observer::report_age(time_point now, proxy_output& out) {
+    if (!state_.directory.known() || now < next_age_report_) {
+        return;
+    }
+    next_age_report_ = now + settings_.age_report_interval;
+    const auto age = now - state_.directory.read_at();
+    out.common.emplace_back(measurement{metric_kind::gauge, "registry_age_ms", "", "",
+                                        static_cast<double>(to_milliseconds(age))});
+    const bool old = age > settings_.directory_stale;
+    if (std::exchange(directory_old_, old) != old) {
+        log(out.common, log_part, old ? log_level::warning : log_level::info,
+            std::string{old ? "registry_old" : "registry_current"} +
+                " age_ms=" + age_text(now, state_.directory.read_at()) +
+                " reader=" + (reader_.empty() ? state_.self.vm : reader_).str());
+    }
+}
+
 void group_observer::watch_members(time_point now, proxy_output& out) {
     for (const auto& [backend, entry] : state_.directory.entries()) {
         if (observed_.contains(entry.registration.group)) {
--- a/src/core/sessions/group_observer_queries.cpp
+++ b/src/core/sessions/group_observer_queries.cpp
@@ -182,12 +182,7 @@
                                  reply.directory_read_version);
         return;
     }
-    if (state_.directory.update(now, read_at, reply.directory_read_version, reply.directory)) {
-        state_.follow_directory();
-        log(out.common, log_part, log_level::info,
-            "registry version=" + std::to_string(reply.directory_version) +
-                " source=" + from.str());
-    }
+    take_list(now, read_at, reply.directory_read_version, reply.directory, from.str(), out);
 }
 
 void group_observer::take_observation(time_point now, time_point asked,
--- a/src/core/sessions/statement_placement.cpp
+++ b/src/core/sessions/statement_placement.cpp
@@ -1,3 +1,4 @@
+#include "jackdawvane/foundation/age_text.hpp"
 #include "jackdawvane/sessions/statement_executor.hpp"
 
 #include <utility>
@@ -200,10 +201,26 @@
     if (!session.work->writes) {
         session.last_backend = backend;
     }
+    note_leaving(now, session, backend, out);
     send_on(now, session, backend, *lease, after, opens, out);
     return true;
 }
 
+/// New work for a leaving server is allowed for a while; the line tells what it was decided on.
+void statement_executor::note_leaving(time_point now, const caller_session& session,
+                                      const backend_server_id& backend, proxy_output& out) const {
+    const auto* entry = state_.directory.find(backend);
+    if (entry == nullptr || !entry->registration.leaving) {
+        return;
+    }
+    count(out.common, "statements_to_leaving_total");
+    note(session, "to_leaving",
+         "backend=" + backend.str() + " leaving_ms=" + age_text(now, entry->leaving_since) +
+             " staying_age_ms=" + age_text(now, entry->staying_at) +
+             " registry_age_ms=" + age_text(now, state_.directory.read_at()),
+         log_level::info, out);
+}
+
 void statement_executor::send_on(time_point now, caller_session& session,
                                  const backend_server_id& backend, connection_id lease,
                                  const std::optional<log_point>& after, bool opens,
--- a/src/core/sessions/statement_results.cpp
+++ b/src/core/sessions/statement_results.cpp
@@ -1,3 +1,4 @@
+#include "jackdawvane/foundation/age_text.hpp"
 #include "jackdawvane/sessions/statement_executor.hpp"
 
 #include <utility>
@@ -296,14 +297,11 @@
         return {};
     }
     const auto& leadership = state_.leadership(route->second.group);
-    const auto age = [&](time_point when) {
-        return when == time_point::min() ? std::string{"never"} : milliseconds(now - when);
-    };
     return " group=" + route->second.group.str() +
            " term=" + std::to_string(leadership.term().value()) +
            " primary=" + (leadership.primary() ? leadership.primary()->str() : "-") +
-           " proof_age_ms=" + age(leadership.confirmed_at()) +
-           " primary_age_ms=" + age(leadership.primary_seen());
+           " proof_age_ms=" + age_text(now, leadership.confirmed_at()) +
+           " primary_age_ms=" + age_text(now, leadership.primary_seen());
 }
 
 std::string statement_executor::unavailable(time_point now, const caller_session& session) const {
