Let the soak's servers leave for long while VMs lose the store

Cause: the soak could not show DRAIN. Its servers left for 3 s, where 7 s are allowed; VMs were turned away by the store for 4 s at most; the judge had no check of work at leaving servers.

Change: new faults `leave_member_for_long` (8 to 14 s), `turn_vms_away` (4 to 14 s, 2 VMs to all but one) and both together; the stand-in records which VM sent a statement; the judge's new check `drain` counts a statement or the first one of a transaction that reaches a server over 7 s after its report, from VMs that no fault has touched for 4 s. `--faults` chooses a set of faults, `--vms` the number of VMs. Two faults no longer take the same backend server at a time: a crash would end a leave.

--- a/src/standins/jackdawvane-site/member_server.cpp
+++ b/src/standins/jackdawvane-site/member_server.cpp
@@ -78,6 +78,7 @@
         }
         if (!failed) {
             client->life = member().life;
+            client->peer = client->socket.remote_endpoint(failed).address().to_string();
             asio::co_spawn(io_, serve(std::move(client)), asio::detached);
         }
     }
@@ -403,6 +404,7 @@
     run["member"] = member().id;
     run["connection"] = Json::UInt64{client.number};
     run["organisation"] = client.organisation;
+    run["from"] = client.peer;
     run["id"] = wanted.id;
     run["text"] = wanted.verb + (wanted.rest.empty() ? "" : " " + wanted.rest);
     run["state"] = std::string{state_before};
--- a/src/standins/jackdawvane-site/member_server.hpp
+++ b/src/standins/jackdawvane-site/member_server.hpp
@@ -54,6 +54,7 @@
         std::uint64_t number;
         std::uint64_t life{0}; ///< Of the member at the start.
         bool silent{false};
+        std::string peer; ///< Address that it comes from.
         std::string organisation;
         std::map<std::string, std::string> values;
         std::map<std::string, prepared> statements;
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -7,11 +7,13 @@
 go dark, lag and lose answers; the store is down, slow, loses answers and turns VMs away; the
 configuration changes. Afterwards the judge compares what callers got with what backend servers ran.
 
-usage: tools/soak.py [--jobs N] [--keep] SEED...      (a seed is a number or FIRST-LAST)
+usage: tools/soak.py [--jobs N] [--keep] [--vms N] [--faults SET] SEED...
+                                                      (a seed is a number or FIRST-LAST)
        tools/soak.py --regression                     (the seeds of tools/soak-seeds.txt)
 """
 import argparse
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -31,7 +33,16 @@
 TAIL_S = 3           # service is judged in this time
 CALLERS = 24
 REGIONS = {'east-1': 'east', 'east-2': 'east', 'west-1': 'west'}
-VMS = 6
+VMS = 6               # if not given
+FIRST_FAULTS = ('kill_vm', 'kill_herd', 'stop_vm', 'freeze_vm', 'crash_member', 'crash_member',
+                'isolate_member', 'lag_group', 'lose_member_answers', 'leave_member', 'store_down',
+                'store_odd', 'cut', 'cut', 'silence', 'change_configuration', 'reload')
+FAULTS = FIRST_FAULTS + ('leave_member_for_long', 'leave_while_vms_are_turned_away',
+                         'turn_vms_away')
+# Most backend servers leave, while VMs lose the store or start again.
+LEAVING_FAULTS = ('leave_member_for_long', 'leave_while_vms_are_turned_away',
+                  'leave_while_vms_are_turned_away', 'turn_vms_away', 'cut', 'stop_vm', 'kill_vm')
+FAULT_SETS = {'all': FAULTS, 'first': FIRST_FAULTS, 'leaving': LEAVING_FAULTS}
 GROUPS = ('ledger', 'parts')
 STORE_PORT, PROMOTION_PORT, CONTROL_PORT = 7300, 7301, 7302
 SESSION_PORT, READY_PORT, PEER_PORT, METRICS_PORT, MEMBER_PORT = 7000, 7001, 7100, 7101, 7200
@@ -46,10 +57,13 @@
 class Soak:
     """Processes, faults and callers of one seed."""
 
-    def __init__(self, seed, net, folder):
+    def __init__(self, seed, net, folder, vms, faults):
         self.random = random.Random(seed)
-        self.net, self.folder = net, pathlib.Path(folder)
+        self.net, self.folder, self.vm_count, self.faults = net, pathlib.Path(folder), vms, faults
         self.processes, self.events, self.version = {}, [], 0
+        self.disturbances = []  # [net of the VM or nothing for all, begin, end]
+        self.leaves = []        # (backend server, begin, end)
+        self.used_members = set()
         self.keys = {name: [f'key-of-{name}', f'spare-key-of-{name}'] for name in organisations()}
         self.revoked, self.added = [], []
         self.started = time.monotonic()
@@ -63,7 +77,7 @@
     def describe(self):
         domains = list(REGIONS)
         self.vms = [dict(name=f'vm-{number}', place=f'vm-{number}', domain=domains[number % 3],
-                         net=self.place(20 + number)) for number in range(VMS)]
+                         net=self.place(110 + number)) for number in range(self.vm_count)]
         self.members = [dict(name=f'{group}-{number}', place=f'{group}-{number}', group=group,
                              domain=domains[number], net=self.place(50 + 10 * index + number))
                         for index, group in enumerate(GROUPS) for number in range(3)]
@@ -191,28 +205,50 @@
     def note(self, text):
         self.events.append((time.monotonic(), text))
 
+    @contextlib.contextmanager
+    def disturbed(self, nets):
+        """VMs, or with None all, that need not act in time meanwhile."""
+        entries = [[net, time.monotonic(), float('inf')] for net in nets]
+        self.disturbances += entries
+        yield
+        for entry in entries:
+            entry[2] = time.monotonic()
+
+    @contextlib.contextmanager
+    def member_for_fault(self):
+        """A backend server that no other fault of this kind uses; nothing when there is none."""
+        free = [each['name'] for each in self.members if each['name'] not in self.used_members]
+        name = self.random.choice(free) if free else None
+        self.used_members.add(name)
+        yield name
+        self.used_members.discard(name)
+
     async def kill_vm(self, count=1):
-        for vm in self.random.sample(self.vms, count):
-            self.signal(vm['name'], signal.SIGKILL)
-            self.note(f'killed {vm["name"]}')
-        await asyncio.sleep(self.random.uniform(0.2, 1.5))
-        self.restart_ended()
+        chosen = self.random.sample(self.vms, count)
+        with self.disturbed(vm['net'] for vm in chosen):
+            for vm in chosen:
+                self.signal(vm['name'], signal.SIGKILL)
+                self.note(f'killed {vm["name"]}')
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            self.restart_ended()
 
     async def kill_herd(self):
-        await self.kill_vm(self.random.choice([VMS // 2, VMS]))
+        await self.kill_vm(self.random.choice([self.vm_count // 2, self.vm_count]))
 
     async def stop_vm(self):
-        name = self.random.choice(self.vms)['name']
-        self.signal(name, signal.SIGTERM)
-        self.note(f'stopped {name}')
-        deadline = time.monotonic() + 6
-        while self.processes[name].poll() is None and time.monotonic() < deadline:
-            await asyncio.sleep(0.05)
-        if self.processes[name].poll() is None:
-            self.note(f'{name} did not end in its grace time')
-            self.signal(name, signal.SIGKILL)
-        await asyncio.sleep(0.2)
-        self.restart_ended()
+        vm = self.random.choice(self.vms)
+        name = vm['name']
+        with self.disturbed([vm['net']]):
+            self.signal(name, signal.SIGTERM)
+            self.note(f'stopped {name}')
+            deadline = time.monotonic() + 6
+            while self.processes[name].poll() is None and time.monotonic() < deadline:
+                await asyncio.sleep(0.05)
+            if self.processes[name].poll() is None:
+                self.note(f'{name} did not end in its grace time')
+                self.signal(name, signal.SIGKILL)
+            await asyncio.sleep(0.2)
+            self.restart_ended()
 
     def restart_ended(self):
         for vm in self.vms:
@@ -220,20 +256,23 @@
                 self.start_vm(vm['name'])
 
     async def freeze_vm(self):
-        name = self.random.choice(self.vms)['name']
-        self.signal(name, signal.SIGSTOP)
-        self.note(f'paused {name}')
-        await asyncio.sleep(self.random.uniform(0.3, 5))
-        self.signal(name, signal.SIGCONT)
-        self.note(f'resumed {name}')
+        vm = self.random.choice(self.vms)
+        with self.disturbed([vm['net']]):
+            self.signal(vm['name'], signal.SIGSTOP)
+            self.note(f'paused {vm["name"]}')
+            await asyncio.sleep(self.random.uniform(0.3, 5))
+            self.signal(vm['name'], signal.SIGCONT)
+            self.note(f'resumed {vm["name"]}')
 
     async def crash_member(self):
-        name = self.random.choice(self.members)['name']
-        await self.member(name, state=self.random.choice(['crashed', 'dark']))
-        self.note(f'backend server {name} lost')
-        await asyncio.sleep(self.random.uniform(1, 6))
-        await self.member(name, state='running')
-        self.note(f'backend server {name} back')
+        with self.member_for_fault() as name:
+            if name is None:
+                return
+            await self.member(name, state=self.random.choice(['crashed', 'dark']))
+            self.note(f'backend server {name} lost')
+            await asyncio.sleep(self.random.uniform(1, 6))
+            await self.member(name, state='running')
+            self.note(f'backend server {name} back')
 
     async def isolate_member(self):
         name = self.random.choice(self.members)['name']
@@ -255,47 +294,80 @@
     async def lose_member_answers(self):
         await self.member(self.random.choice(self.members)['name'], lose_answers=3)
 
-    async def leave_member(self):
-        name = self.random.choice(self.members)['name']
-        await self.member(name, leaving=True)
-        self.note(f'{name} leaves')
-        await asyncio.sleep(3)
-        await self.member(name, state='crashed', leaving=False)
-        await asyncio.sleep(0.5)
-        await self.member(name, state='running')
+    async def leave_member(self, seconds=3):
+        """A backend server says that it leaves, serves on and is replaced."""
+        with self.member_for_fault() as name:
+            if name is None:
+                return
+            await self.member(name, leaving=True)
+            begin = time.monotonic()
+            self.note(f'{name} leaves')
+            await asyncio.sleep(seconds)
+            self.leaves.append((name, begin, time.monotonic()))
+            await self.member(name, state='crashed', leaving=False)
+            self.note(f'{name} is gone')
+            await asyncio.sleep(0.5)
+            await self.member(name, state='running')
+
+    async def leave_member_for_long(self):
+        await self.leave_member(self.random.uniform(8, 14))
 
     async def store_down(self):
         milliseconds = self.random.randint(500, 6000)
-        await self.store(down_ms=milliseconds, silent=self.random.random() < 0.5)
-        self.note(f'store down for {milliseconds} ms')
-        await asyncio.sleep(milliseconds / 1000)
+        with self.disturbed([None]):
+            await self.store(down_ms=milliseconds, silent=self.random.random() < 0.5)
+            self.note(f'store down for {milliseconds} ms')
+            await asyncio.sleep(milliseconds / 1000)
 
     async def store_odd(self):
         refused = [vm['net'] + '.1' for vm in self.random.sample(self.vms, 2)]
         fault = self.random.choice([dict(lose_answers=4), dict(delay_ms=400),
                                     dict(forget_history=True), dict(refused=refused)])
-        await self.store(**fault)
-        self.note(f'store: {fault}')
-        await asyncio.sleep(self.random.uniform(1, 4))
-        await self.store(delay_ms=0, refused=[])
+        with self.disturbed([None]):
+            await self.store(**fault)
+            self.note(f'store: {fault}')
+            await asyncio.sleep(self.random.uniform(1, 4))
+            await self.store(delay_ms=0, refused=[])
+
+    async def turn_vms_away(self):
+        """The store turns some VMs away for long and serves the others."""
+        count = self.random.choice([2, self.vm_count // 2, self.vm_count - 1])
+        await self.turn_away(count, self.random.uniform(4, 14))
+
+    async def leave_while_vms_are_turned_away(self):
+        away = asyncio.create_task(self.turn_away(self.vm_count // 2, 14))
+        await asyncio.sleep(0.3)
+        await self.leave_member_for_long()
+        await away
+
+    async def turn_away(self, count, seconds):
+        nets = [vm['net'] for vm in self.random.sample(self.vms, count)]
+        with self.disturbed(nets):
+            await self.store(refused=[net + '.1' for net in nets])
+            self.note(f'store turns away {nets}')
+            await asyncio.sleep(seconds)
+            await self.store(refused=[])
+            self.note('store serves all VMs')
 
     async def cut(self):
-        vm = self.random.choice(self.vms)['place']
+        vm = self.random.choice(self.vms)
         other = self.random.choice(['store', '*', self.random.choice(self.members)['place'],
                                     self.random.choice(self.vms)['place']])
-        pair = [vm, other]
-        await self.link(dict(cut=[pair]))
-        self.note(f'cut {pair}')
-        await asyncio.sleep(self.random.uniform(0.5, 5))
-        await self.link(dict(heal=[pair]))
-        self.note(f'healed {pair}')
+        pair = [vm['place'], other]
+        with self.disturbed([each['net'] for each in self.vms if each['place'] in pair]):
+            await self.link(dict(cut=[pair]))
+            self.note(f'cut {pair}')
+            await asyncio.sleep(self.random.uniform(0.5, 5))
+            await self.link(dict(heal=[pair]))
+            self.note(f'healed {pair}')
 
     async def silence(self):
         first = self.random.choice(self.vms)['place']
         second = self.random.choice(['store', self.random.choice(self.members)['place'],
                                      self.random.choice(self.vms)['place']])
-        await self.link(dict(silence=[[first, second]]))
-        self.note(f'silenced {first} {second}')
+        with self.disturbed([None]):
+            await self.link(dict(silence=[[first, second]]))
+            self.note(f'silenced {first} {second}')
 
     async def change_configuration(self):
         for _ in range(self.random.choice([1, 1, 5])):
@@ -319,10 +391,7 @@
 
     async def inject(self):
         """Five to nine faults, each at its own time; some follow one another at once."""
-        kinds = [self.kill_vm, self.kill_herd, self.stop_vm, self.freeze_vm, self.crash_member,
-                 self.crash_member, self.isolate_member, self.lag_group, self.lose_member_answers,
-                 self.leave_member, self.store_down, self.store_odd, self.cut, self.cut,
-                 self.silence, self.change_configuration, self.reload]
+        kinds = [getattr(self, name) for name in self.faults]
         plan = [(self.random.uniform(2, LOAD_S - 3), self.random.choice(kinds))
                 for _ in range(self.random.randint(5, 9))]
         if self.random.random() < 0.4:  # the same fault again, soon after
@@ -398,7 +467,8 @@
             dict(record, statements=[each for caller in callers
                                      for each in caller.statements.values()])))
         self.ended_by_themselves(problems)
-        problems += judge(callers, record, state, self.events, organisations(), tail_from)
+        problems += judge(callers, record, state, self.events, organisations(), tail_from,
+                          self.leaves, self.disturbances)
         return problems, callers
 
     async def final_configuration(self, vms):
@@ -420,9 +490,9 @@
                 problems.append(f'{name} ended with status {process.returncode}')
 
 
-def run_seed(seed, slot, keep):
+def run_seed(seed, slot, keep, vms, faults):
     with tempfile.TemporaryDirectory(prefix='jackdawvane-soak-') as folder:
-        soak = Soak(seed, f'127.{30 + slot}', folder)
+        soak = Soak(seed, f'127.{30 + slot}', folder, vms, FAULT_SETS[faults])
         callers = []
         try:
             problems, callers = asyncio.run(soak.run())
@@ -432,7 +502,7 @@
             soak.stop_all()
         operations = sum(len(caller.operations) for caller in callers)
         served = sum(operation['ok'] for caller in callers for operation in caller.operations)
-        print(f'seed {seed}: {len(soak.events)} events, {operations} operations, {served} served, '
+        print(f'seed {seed} {faults}: {len(soak.events)} events, {operations} operations, {served} served, '
               f'{len(problems)} problems', flush=True)
         if problems or keep:
             kept = pathlib.Path(tempfile.gettempdir()) / f'jackdawvane-soak-{seed}'
@@ -448,9 +518,13 @@
         return len(problems)
 
 
-def regression_seeds():
+def regression_runs():
+    """Seeds and faults of the list."""
     lines = (ROOT / 'tools' / 'soak-seeds.txt').read_text().splitlines()
-    return [line.split()[0] for line in lines if line and not line.startswith('#')]
+    for line in lines:
+        if line and not line.startswith('#'):
+            seed, faults = line.split()[:2]
+            yield int(seed), faults
 
 
 def main():
@@ -459,20 +533,22 @@
     parser.add_argument('seeds', nargs='*', metavar='SEED')
     parser.add_argument('--regression', action='store_true')
     parser.add_argument('--jobs', type=int, default=1)
+    parser.add_argument('--vms', type=int, default=VMS)
+    parser.add_argument('--faults', choices=FAULT_SETS, default='all')
     parser.add_argument('--keep', action='store_true', help='keep the logs of every seed')
     options = parser.parse_args()
-    seeds = []
-    for text in options.seeds + (regression_seeds() if options.regression else []):
+    runs = list(regression_runs()) if options.regression else []
+    for text in options.seeds:
         first, _, last = text.partition('-')
-        seeds += range(int(first), int(last or first) + 1)
+        runs += [(seed, options.faults) for seed in range(int(first), int(last or first) + 1)]
     running, failed = {}, 0
-    while seeds or running:
+    while runs or running:
         free = [slot for slot in range(options.jobs) if slot not in running]
-        if seeds and free:
+        if runs and free:
             child = os.fork()
-            seed = seeds.pop(0)
+            seed, faults = runs.pop(0)
             if child == 0:
-                os._exit(min(1, run_seed(seed, free[0], options.keep)))
+                os._exit(min(1, run_seed(seed, free[0], options.keep, options.vms, faults)))
             running[free[0]] = child
             continue
         ended, status = os.wait()
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -59,7 +59,7 @@
         host, port = self.random.choice(self.vms)
         self.reader, self.writer = await asyncio.wait_for(
             asyncio.open_connection(host, port, local_addr=(self.address, 0)), 2)
-        self.route, self.values, self.prepared = route, {}, {}
+        self.route, self.vm, self.values, self.prepared = route, host, {}, {}
         self.session = f'{self.number}-{self.sequence}'
         self.writer.write(f'STARTUP {route} {self.key}\r\n'.encode())
         line = await asyncio.wait_for(self.reader.readline(), 2)
@@ -69,7 +69,7 @@
     async def query(self, text, transaction):
         self.sequence += 1
         name = f'{self.number:04x}{self.sequence:012x}'
-        sent = dict(id=name, text=text, route=self.route, session=self.session,
+        sent = dict(id=name, text=text, route=self.route, vm=self.vm, session=self.session,
                     organisation=self.organisation, transaction=transaction,
                     values=dict(self.values), sent=time.monotonic(), answered=None, error=None,
                     rows=[], signature='', shape='')
--- a/tools/soak_judge.py
+++ b/tools/soak_judge.py
@@ -7,6 +7,8 @@
 STALENESS_S = {'orders': 0, 'catalogue': 1.5, 'stock': 2.5}
 SERVED_SHARE = 0.5   # of the operations within their limit, after all faults have ended
 DISTURBED_S = 0.5    # a VM counts as disturbed this long after a pause or a cut
+CONTACT_S, DRAIN_S = 4, 7  # `contact_timeout_ms`, `drain_timeout_ms`
+REPORT_S = 0.5       # the stand-in writes a changed registration within this time
 
 
 def position(text):
@@ -213,6 +215,32 @@
                 break
 
 
+def drain(evidence, leaves, disturbances):
+    """DRAIN: new work at a backend server long after it has said that it leaves.
+
+    A VM that was disturbed a short time ago, or a store that was, does not count.
+    """
+    def calm(places, at):
+        nets = {place.rpartition('.')[0] for place in places}
+        return not any(begin < at < end + CONTACT_S and (net is None or net in nets)
+                       for net, begin, end in disturbances)
+
+    opening = {}
+    for run in sorted(evidence.runs, key=lambda each: each['at']):
+        entry = evidence.sent.get(run['id'])
+        if entry is None or not works(entry):
+            continue
+        unit = unit_of(entry)
+        first = opening.setdefault(unit, run['id']) == run['id']
+        for member, begin, end in leaves if first else []:
+            late = run['at'] - begin - REPORT_S - DRAIN_S
+            if run['member'] != member or late < 0 or run['at'] > end:
+                continue
+            if calm((entry['vm'], run['from']), run['at']) and calm((), begin + REPORT_S):
+                yield (f'drain: {run["id"]} at {member} {late + DRAIN_S:.1f} s after it left, '
+                       f'entry {entry["vm"]}, from {run["from"]}')
+
+
 def served(evidence, tail_from):
     """Service after all faults have ended; the organisation above its limit does not count."""
     owed = [each for each in evidence.operations
@@ -223,12 +251,12 @@
         yield f'served: {done} of {len(owed)} after all faults ended: {dict(kinds)}'
 
 
-def judge(callers, record, state, events, limits, tail_from):
+def judge(callers, record, state, events, limits, tail_from, leaves, disturbances):
     """Everything that must not happen, as text."""
     evidence = Evidence(callers, record, state)
     found = []
     for check in (mixed(evidence), unasked(evidence), pinned(evidence), commits(evidence),
                   stale(evidence), one(evidence, events), quota(evidence, limits),
-                  served(evidence, tail_from)):
+                  drain(evidence, leaves, disturbances), served(evidence, tail_from)):
         found += list(check)
     return found
