Pass over a reader of the registry whose list is old

Cause: one VM of each region reads the registry, and the others ask it. It was passed over only when it did not answer. A reader that is cut off from the store, or that the store turns away, answers with its last list, so all VMs of its region went on with that list, and asked no one else but the like readers of other regions. Nothing bounded the age of a list.

With one VM of 60 turned away the new unit test finds 60 VMs without the news.

Change: a reader whose answer is older than 2.5 s is passed over for 2 s. A VM whose own list is that old goes on trying, and asks those ranked after it. A VM that finds no reader reads the registry itself once its list is 3.5 s old. In a calm fleet the same VMs read as before; the test bounds the readings.

Tests: GroupObserver/RegistryReadersTurnedAway with 1, 2 and 5 readers turned away fails on the former code (60 of 60 VMs unaware after 6 s) and passes now; without one it passes on both.

--- a/include/jackdawvane/sessions/group_observer.hpp
+++ b/include/jackdawvane/sessions/group_observer.hpp
@@ -40,6 +40,12 @@
     /// Directory older than this is asked of VMs in other failure domains.
     duration directory_stale{std::chrono::milliseconds{2000}};
     duration foreign_query_interval{std::chrono::milliseconds{500}};
+    /// A reader whose list is older is passed over. Above the time between its readings and that
+    /// between the questions to it together.
+    duration reader_limit{std::chrono::milliseconds{2500}};
+    duration old_reader_memory{std::chrono::seconds{2}};
+    /// A VM that gets no list of this age from any reader reads the registry itself.
+    duration unaided_limit{std::chrono::milliseconds{3500}};
     /// Between two values of the metric of the directory's age.
     duration age_report_interval{std::chrono::milliseconds{1000}};
 };
@@ -57,7 +63,8 @@
 /// statements need to know. One VM per region reads the registry; the others ask it for changes.
 /// Who that is follows from rendezvous hashing, so the work of a VM does not grow with the fleet.
 /// The primary and one replica, the witness, are asked often. A VM that does not answer is passed
-/// over, so an observer that dies is replaced before its proofs run out.
+/// over, so an observer that dies is replaced before its proofs run out. So is a reader whose list
+/// is old, because the store turns it away or is out of its reach.
 class group_observer {
   public:
     /// @brief Task name under which VMs are ranked as readers of the registry and, with the name of
@@ -125,6 +132,9 @@
     };
 
     void choose_roles(time_point now);
+    void choose_reader(time_point now);
+    /// Whether this VM's list of the registry is older than @a limit.
+    [[nodiscard]] bool list_older_than(time_point now, duration limit) const;
     /// First VM of @a ranked that is not silent; empty when this VM comes first or all are silent.
     [[nodiscard]] vm_id first_answering(time_point now, const std::vector<vm_id>& ranked) const;
     [[nodiscard]] const std::vector<vm_id>& ranked_for(const std::string& subject);
@@ -153,6 +163,8 @@
                     bool second_opinion, proxy_output& out);
     void judge_answer(time_point now, const vm_id& from, const observation_reply& reply,
                       const std::vector<group_id>& groups);
+    void judge_reader(time_point now, const vm_id& from, const observation_reply& reply,
+                      proxy_output& out);
     void take_directory(time_point now, time_point asked, const vm_id& from,
                         const observation_reply& reply, proxy_output& out);
     void take_observation(time_point now, time_point asked, const member_observation& each);
@@ -174,7 +186,9 @@
     /// VMs of this region by task, first choice first, for `ranked_version_`.
     std::map<std::string, std::vector<vm_id>> ranked_;
     std::uint64_t ranked_version_{0};
-    vm_id reader_; ///< VM of the own region that is asked for the registry; empty for this one.
+    vm_id reader_;      ///< VM of the own region that is asked for the registry, if any.
+    bool reads_{false}; ///< Whether it is this VM's turn to read the registry.
+    std::map<vm_id, time_point> old_readers_; ///< When a VM last answered with an old list.
     std::map<vm_id, time_point> silent_since_;
     std::map<vm_id, time_point> ignorant_since_; ///< Answers, but knows nothing recent.
     std::map<group_id, time_point> asked_until_;
--- a/src/core/sessions/group_observer.cpp
+++ b/src/core/sessions/group_observer.cpp
@@ -69,7 +69,7 @@
 
 void group_observer::choose_roles(time_point now) {
     std::erase_if(asked_until_, [now](const auto& each) { return each.second <= now; });
-    reader_ = first_answering(now, ranked_for(task));
+    choose_reader(now);
     observed_.clear();
     for (const auto& group : state_.directory.groups()) {
         if (always_active_ || asked_until_.contains(group) || observer_of(now, group).empty()) {
@@ -78,6 +78,30 @@
     }
 }
 
+/// A VM whose own list is old goes on trying to read the registry, and asks those ranked after it.
+void group_observer::choose_reader(time_point now) {
+    std::erase_if(old_readers_, [&](const auto& each) {
+        return now - each.second > settings_.old_reader_memory;
+    });
+    reader_ = vm_id{};
+    reads_ = false;
+    for (const auto& vm : ranked_for(task)) {
+        if (vm == state_.self.vm) {
+            reads_ = true;
+            if (!list_older_than(now, settings_.reader_limit)) {
+                return;
+            }
+        } else if (!silent(now, vm) && !old_readers_.contains(vm)) {
+            reader_ = vm;
+            return;
+        }
+    }
+}
+
+bool group_observer::list_older_than(time_point now, duration limit) const {
+    return !state_.directory.known() || now - state_.directory.read_at() > limit;
+}
+
 bool group_observer::silent(time_point now, const vm_id& vm) const {
     const auto found = silent_since_.find(vm);
     return found != silent_since_.end() && now - found->second < settings_.silent_observer_memory;
@@ -89,7 +113,8 @@
         directory_at_ = now;
         report_unread(now, out);
     }
-    const bool wanted = always_active_ || reader_.empty() || !state_.directory.known();
+    const bool unaided = reader_.empty() && list_older_than(now, settings_.unaided_limit);
+    const bool wanted = always_active_ || reads_ || unaided || !state_.directory.known();
     if (!wanted || directory_pending_ || now < directory_at_) {
         return;
     }
--- a/src/core/sessions/group_observer_queries.cpp
+++ b/src/core/sessions/group_observer_queries.cpp
@@ -142,6 +142,7 @@
     queries_.erase(found);
     if (!query.second_opinion) {
         judge_answer(now, from, reply, query.groups);
+        judge_reader(now, from, reply, out);
     }
     take_directory(now, query.at, from, reply, out);
     // The primary tells the term that the replicas' statuses prove, and its position is taken only
@@ -174,6 +175,22 @@
     }
 }
 
+/// A VM that answers but cannot read the registry is passed over as its reader.
+void group_observer::judge_reader(time_point now, const vm_id& from, const observation_reply& reply,
+                                  proxy_output& out) {
+    if (from != reader_ ||
+        (reply.directory_read_version > 0 && reply.directory_age <= settings_.reader_limit)) {
+        return;
+    }
+    log(out.common, log_part, log_level::warning,
+        "reader_old vm=" + from.str() +
+            " age_ms=" + std::to_string(to_milliseconds(reply.directory_age)) +
+            " limit_ms=" + std::to_string(to_milliseconds(settings_.reader_limit)));
+    old_readers_[from] = now;
+    next_directory_query_ = now;
+    due_ = now;
+}
+
 void group_observer::take_directory(time_point now, time_point asked, const vm_id& from,
                                     const observation_reply& reply, proxy_output& out) {
     const auto read_at = asked - reply.directory_age;
--- a/tests/core/group_observer_test.cpp
+++ b/tests/core/group_observer_test.cpp
@@ -1,8 +1,10 @@
+#include "jackdawvane/membership/placement.hpp"
 #include "jackdawvane/sessions/group_observer.hpp"
 
 #include <utility>
 
 #include <algorithm>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -198,5 +200,101 @@
     EXPECT_GE(asked.size(), 3U);
 }
 
+/// VMs of one region and the store; messages and answers take no time.
+class observing_fleet {
+  public:
+    observing_fleet() {
+        for (std::size_t i = 0; i < vm_count; ++i) {
+            vms_.push_back(std::make_unique<observing_vm>(i));
+        }
+    }
+
+    /// The first @a count VMs that would read the registry get no answer from the store.
+    void turn_readers_away(std::size_t count) {
+        const auto& state = vms_.front()->state;
+        const auto readers =
+            region_delegates(group_observer::task, region_id{"r"}, state.live, count);
+        turned_away_ = {readers.begin(), readers.end()};
+    }
+    void set_leaving(std::size_t server) { list_[server].leaving = true; }
+    void run(int from_ms, int until_ms) {
+        for (int ms = from_ms; ms < until_ms; ms += 25) {
+            ++version_; // Heartbeats of the servers.
+            for (auto& vm : vms_) {
+                carry_out(at(ms), *vm, vm->tick(at(ms)));
+            }
+        }
+    }
+    /// VMs that do not know that @a server leaves.
+    [[nodiscard]] std::size_t unaware(std::size_t server) const {
+        return static_cast<std::size_t>(std::count_if(vms_.begin(), vms_.end(), [&](auto& vm) {
+            return !vm->state.directory.find(list_[server].backend)->registration.leaving;
+        }));
+    }
+    [[nodiscard]] std::size_t readings() const { return readings_; }
+
+  private:
+    void carry_out(time_point now, observing_vm& from, const proxy_output& out) {
+        for (const auto& each : out.common) {
+            if (const auto* call = std::get_if<store_request>(&each)) {
+                answer(now, from, *call);
+            } else if (const auto* sent = std::get_if<send_to_peer>(&each)) {
+                deliver(now, from, *sent);
+            }
+        }
+    }
+    void answer(time_point now, observing_vm& from, const store_request& call) {
+        ++readings_;
+        store_answer found{call.id, store_status::unavailable, {}, 0, {}};
+        if (!turned_away_.contains(from.state.self.vm)) {
+            found.status = store_status::ok;
+            found.version = version_;
+            found.backends = list_;
+        }
+        proxy_output out;
+        from.observer.on_store(now, found, out);
+        carry_out(now, from, out);
+    }
+    void deliver(time_point now, observing_vm& from, const send_to_peer& sent) {
+        const auto to = std::find_if(vms_.begin(), vms_.end(),
+                                     [&](const auto& vm) { return vm->state.self.vm == sent.vm; });
+        proxy_output out;
+        if (const auto* query = std::get_if<observation_query>(&sent.message)) {
+            (*to)->observer.on_query(now, from.state.self.vm, *query, out);
+        } else if (const auto* reply = std::get_if<observation_reply>(&sent.message)) {
+            (*to)->observer.on_answer(now, from.state.self.vm, *reply, out);
+        }
+        carry_out(now, **to, out);
+    }
+
+    std::vector<std::unique_ptr<observing_vm>> vms_;
+    std::vector<backend_registration> list_{registry()};
+    std::set<vm_id> turned_away_;
+    std::uint64_t version_{1};
+    std::size_t readings_{0};
+};
+
+class RegistryReadersTurnedAway : public ::testing::TestWithParam<std::size_t> {};
+
+/// Guards against lists without a bound on their age: the store turned the VM away that its region
+/// asks for the registry, and nobody learned that a server leaves.
+TEST_P(RegistryReadersTurnedAway, AllVmsLearnThatAServerLeaves) {
+    // Servers serve on for 7 s; a statement may wait for 1 s at the VM that owns the connections.
+    constexpr int bound_ms = 6'000;
+    observing_fleet fleet;
+    fleet.run(0, 3'000);
+    fleet.turn_readers_away(GetParam());
+    fleet.set_leaving(7);
+    fleet.run(3'000, 3'000 + bound_ms);
+    EXPECT_EQ(fleet.unaware(7), 0U);
+    const auto before = fleet.readings();
+    fleet.run(9'000, 19'000);
+    // Each VM that is turned away may try all the time; of the others, few do.
+    EXPECT_LE(fleet.readings() - before, 12 * (GetParam() + 4));
+}
+
+INSTANTIATE_TEST_SUITE_P(GroupObserver, RegistryReadersTurnedAway,
+                         ::testing::Values(0U, 1U, 2U, 5U));
+
 } // namespace
 } // namespace jackdawvane
