Count a server's time of leaving from the last reading that listed it as staying

Cause: the limit of 4.5 s from counts from the moment at which this VM first read the server as leaving. With an old list, or in a VM that has just started, that is later than the server's report by any time. The registry does not tell when a server began to leave.

Change: the limit counts from the last reading that listed the server as staying, which is never after the report. A VM that never read it as staying gives it no new work. The cost: after a start of all VMs a leaving primary gets no writes until it is replaced.

Tests: StatementExecutor/LeavingServerLearnedOfLate, `list_was_old` and `first_list_of_this_vm`, fail on the former code and pass now; `known_before` passes on both. A test's comment that had slipped to the test before it is back in its place.

--- a/include/jackdawvane/sessions/statement_executor.hpp
+++ b/include/jackdawvane/sessions/statement_executor.hpp
@@ -45,8 +45,9 @@
     /// sent ends as unknown, what waits can be refused as not run. Above the status interval, the
     /// question to the observer and the round trips.
     duration primary_silence{std::chrono::milliseconds{700}};
-    /// A backend server gets new work for this long after it was read as leaving. It serves on for
-    /// 7 s at least after it has said so, and the registry is read up to 2 s after that.
+    /// A leaving backend server gets new work for this long after the last reading that listed it
+    /// as staying. It serves on for 7 s at least after it has said that it leaves, and a statement
+    /// may wait up to 850 ms for a connection.
     duration leaving_use{std::chrono::milliseconds{4500}};
     /// Evidence older than this is asked for again with the next statement that needs it, before
     /// it runs out.
--- a/src/core/sessions/statement_placement.cpp
+++ b/src/core/sessions/statement_placement.cpp
@@ -131,11 +131,12 @@
                : settings_.far_round_trip;
 }
 
-/// A server that has been leaving for a few seconds gets no new work, also when no other has room:
-/// it may end at any moment.
+/// A server that may have been leaving for a few seconds gets no new work, also when no other has
+/// room: it may end at any moment. When it began is not in the registry, so the last reading that
+/// listed it as staying counts; this VM's list may have been old, or may be its first one.
 bool statement_executor::ends_soon(time_point now, const backend_directory::entry& backend) const {
-    return backend.leaving_since != no_deadline &&
-           now - backend.leaving_since > settings_.leaving_use;
+    return backend.registration.leaving && (backend.staying_at == time_point::min() ||
+                                            now - backend.staying_at > settings_.leaving_use);
 }
 
 std::vector<read_candidate> statement_executor::candidates(time_point now,
--- a/tests/core/statement_executor_test.cpp
+++ b/tests/core/statement_executor_test.cpp
@@ -65,7 +65,6 @@
     EXPECT_TRUE(fixture.answers().empty());
 }
 
-// A read without an answer must not wait for its timeout while another server is idle.
 /// Guards against new work for a server that is about to end: a leaving server was used, as a last
 /// choice, until it was gone.
 TEST_F(StatementExecutor, LeavingServerGetsNoNewWorkAfterAFewSeconds) {
@@ -92,6 +91,39 @@
     EXPECT_TRUE(fixture.commands().empty()) << "neither does a leaving primary";
 }
 
+struct late_news_case {
+    const char* name;
+    int staying_at; ///< Last reading that listed the server as staying; -1 for none.
+    bool sent;
+};
+
+class LeavingServerLearnedOfLate : public ::testing::TestWithParam<late_news_case> {};
+
+/// Guards against new work that is counted from the reading: the server may have left long before.
+TEST_P(LeavingServerLearnedOfLate, GetsNewWorkByItsLastReadingAsStaying) {
+    constexpr int read_at = 20'000;
+    session_fixture fixture;
+    fixture.state.directory = backend_directory{};
+    std::vector<backend_registration> list{registration("p")};
+    if (GetParam().staying_at >= 0) {
+        fixture.state.directory.update(at(0), at(GetParam().staying_at), 1, list);
+    }
+    list.front().leaving = true;
+    fixture.state.directory.update(at(read_at), at(read_at), 2, list);
+    fixture.start(read_at);
+    fixture.prove(read_at);
+    fixture.say(read_at + 10, write_one());
+    fixture.accept(read_at + 11);
+    EXPECT_EQ(fixture.commands().size(), GetParam().sent ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(StatementExecutor, LeavingServerLearnedOfLate,
+                         ::testing::Values(late_news_case{"known_before", 19'000, true},
+                                           late_news_case{"list_was_old", 13'000, false},
+                                           late_news_case{"first_list_of_this_vm", -1, false}),
+                         [](const auto& tested) { return std::string{tested.param.name}; });
+
+// A read without an answer must not wait for its timeout while another server is idle.
 TEST_F(StatementExecutor, SilentReadIsAlsoSentElsewhere) {
     fixture.say(10, read_one());
     fixture.accept(11);
