Let every VM try for the duty of promotions, later ones rarely

What callers saw: a leaving primary went on getting their writes until it ended, since nobody replaced it; a failed one would have been missing for as long.

Cause: only the first three VMs by rank try for the duty's lease. When these are cut off from the store, nobody does, though all others reach it. It is the same class of fault as an old reader of the registry: a task that a rank gives to a few VMs stays with them while they are alive but cannot do it.

Change: every VM tries, one of rank r every r + 1 seconds; those after the first three begin with a wait, so that a fleet does not ask all at once.

Tests: DutyLease/DutyRanks fails on the former code for the ranks 3 and 20 and passes now.

--- a/include/jackdawvane/sessions/duty_lease.hpp
+++ b/include/jackdawvane/sessions/duty_lease.hpp
@@ -18,8 +18,9 @@
     duration renewal{std::chrono::milliseconds{1200}};
     /// The store's clock may run this much faster than the own one, in parts of the lease.
     int margin_divisor{8};
-    /// Between two tries of the first candidate; a candidate of rank r waits r times as long more.
+    /// Between two tries of the first VM; a VM of rank r waits r times as long more.
     duration try_interval{std::chrono::milliseconds{1000}};
+    /// VMs that try as soon as they start.
     std::size_t candidates{3};
 };
 
@@ -32,7 +33,8 @@
   public:
     duty_lease(vm_id self, duty_lease_settings settings, id_sequence<request_id>& ids);
 
-    /// @param rank place of this VM among the candidates, from 0
+    /// @param rank place of this VM among all, from 0; every VM tries, as those before it may be
+    /// out of the store's reach
     void tick(time_point now, std::size_t rank, actions& out);
     /// @return whether the answer belongs to this part
     bool on_store(time_point now, const store_answer& answer, actions& out);
@@ -48,12 +50,15 @@
 
   private:
     void call(time_point now, store_operation operation, actions& out);
+    /// Between two tries of a VM.
+    [[nodiscard]] duration pause_of(std::size_t rank) const;
 
     vm_id self_;
     duty_lease_settings settings_;
     id_sequence<request_id>& ids_;
     bool holder_{false};
     bool leaving_{false};
+    bool started_{false};
     std::uint64_t fence_{0};
     time_point until_{time_point::min()};
     time_point next_{};
--- a/src/core/sessions/duty_lease.cpp
+++ b/src/core/sessions/duty_lease.cpp
@@ -27,10 +27,19 @@
     out.emplace_back(std::move(request));
 }
 
+/// The first candidates all try from the start. The others wait, so that they do not all ask at
+/// once, and ask the more rarely the more VMs come before them.
+duration duty_lease::pause_of(std::size_t rank) const {
+    return settings_.try_interval * static_cast<int>(rank + 1);
+}
+
 void duty_lease::tick(time_point now, std::size_t rank, actions& out) {
     if (leaving_) {
         return;
     }
+    if (!std::exchange(started_, true) && rank >= settings_.candidates) {
+        next_ = now + pause_of(rank);
+    }
     if (holder_ && now >= until_) {
         holder_ = false;
         next_ = now;
@@ -46,8 +55,8 @@
     if (holder_) {
         next_ = now + settings_.renewal;
         call(now, store_operation::keep_lease, out);
-    } else if (rank < settings_.candidates) {
-        next_ = now + settings_.try_interval * static_cast<int>(rank + 1);
+    } else {
+        next_ = now + pause_of(rank);
         call(now, store_operation::acquire_lease, out);
     }
 }
--- a/tests/core/promotion_duty_test.cpp
+++ b/tests/core/promotion_duty_test.cpp
@@ -267,6 +267,41 @@
     EXPECT_FALSE(lease.held(at(3500))); // Four seconds from the call, less the margin.
 }
 
+struct duty_rank_case {
+    std::size_t rank;
+    int first_try_ms;       ///< At the latest.
+    std::size_t most_tries; ///< In a minute in which another VM holds the duty.
+};
+
+class DutyRanks : public ::testing::TestWithParam<duty_rank_case> {};
+
+/// Guards against a duty that nobody takes while the first VMs by rank are cut off from the store,
+/// and against a fleet that all asks for it.
+TEST_P(DutyRanks, EveryVmTriesAndLaterOnesRarely) {
+    id_sequence<request_id> requests;
+    duty_lease lease{vm_id{"a"}, {}, requests};
+    std::vector<int> tries;
+    for (int ms = 0; ms < 60'000; ms += 50) {
+        actions out;
+        lease.tick(at(ms), GetParam().rank, out);
+        for (const auto& each : out) {
+            if (const auto* request = std::get_if<store_request>(&each)) {
+                tries.push_back(ms);
+                actions answers;
+                lease.on_store(at(ms), {request->id, store_status::conflict, {}, 0, {}}, answers);
+            }
+        }
+    }
+    ASSERT_FALSE(tries.empty());
+    EXPECT_LE(tries.front(), GetParam().first_try_ms);
+    EXPECT_LE(tries.size(), GetParam().most_tries);
+}
+
+INSTANTIATE_TEST_SUITE_P(DutyLease, DutyRanks,
+                         ::testing::Values(duty_rank_case{0, 0, 60}, duty_rank_case{2, 0, 20},
+                                           duty_rank_case{3, 4'000, 15},
+                                           duty_rank_case{20, 21'000, 2}));
+
 TEST(DutyLease, RenewalThatFindsTheLeaseEndedLosesTheDuty) {
     id_sequence<request_id> ids;
     duty_lease lease{vm_id{"a"}, {}, ids};
