End a connection whose statement its entry has given up

Cause: an owner that was cut off kept statements and the first statements of transactions on connections whose bytes the cut held up. When the cut ended, seconds after the entry had tried the statement elsewhere, the server ran them, or answered the begin and got the statement after it. The owner knew how long the entry waits, but used it for its queue only.

Change: the connection keeps its statement's deadline. Without an answer by then it is closed, which drops what is held up, and nothing that was held back for an answer is sent any more.

Not covered: an entry that has lost its owner tries elsewhere before the deadline; a cut that ends between the two still lets the statement run twice, in a transaction that is rolled back (docs/findings.md).

--- a/include/jackdawvane/sessions/backend_sessions.hpp
+++ b/include/jackdawvane/sessions/backend_sessions.hpp
@@ -46,6 +46,7 @@
     const std::map<std::string, std::string>* values{nullptr};
     const prepared_statement* prepared{nullptr}; ///< Null when the statement is not prepared.
     bool writes{false};
+    time_point deadline{no_deadline}; ///< The statement's entry gives it up then.
 };
 
 /// @brief Connections of this VM to backend servers, with the state of their sessions.
@@ -67,6 +68,9 @@
     /// @brief Sends @a main on a connection that was acquired.
     /// @param begin `begin` or `begin_read` to open a transaction before it, or nothing; the
     /// statement is sent only after the transaction is open
+    ///
+    /// The connection is closed when there is no answer by the statement's deadline: its entry may
+    /// have tried it elsewhere, and what a cut holds up must not run later.
     void send(time_point now, connection_id connection, attempt_id attempt,
               const session_needs& needs, std::optional<backend_command> begin,
               backend_command main, proxy_output& out);
@@ -112,6 +116,7 @@
         bool release_when_quiet{false};
         time_point opened_at{};
         time_point heard{};
+        time_point deadline{no_deadline}; ///< Of the statement in hand.
         std::map<std::string, std::string> values;
         std::map<std::string, prepared_statement> prepared;
         std::deque<expected> waiting;
@@ -133,6 +138,7 @@
                     std::vector<backend_command>& commands);
     void expect(time_point now, session& own, expected_kind kind, attempt_id attempt);
     void finish_running(const session& own, const expected& ended);
+    [[nodiscard]] static bool overdue(time_point now, const session& own);
     void become_idle(time_point now, connection_id id, proxy_output& out);
     void erase(connection_id id);
     void fail_open_attempts(connection_id id, session& own, const member_closed& closed);
--- a/include/jackdawvane/sessions/member_owner.hpp
+++ b/include/jackdawvane/sessions/member_owner.hpp
@@ -61,14 +61,14 @@
     struct queued {
         vm_id entry;
         member_statement statement;
+        time_point deadline{no_deadline}; ///< The entry gives it up then.
     };
     struct running {
         lease_key key;
         attempt_id attempt;
     };
 
-    void start(time_point now, const vm_id& entry, member_statement statement,
-               connection_id connection, proxy_output& out);
+    void start(time_point now, queued next, connection_id connection, proxy_output& out);
     void drain(time_point now, const backend_server_id& backend, fair_queue<queued>& queue,
                proxy_output& out);
     void expire(time_point now, fair_queue<queued>& queue);
--- a/src/core/sessions/backend_sessions.cpp
+++ b/src/core/sessions/backend_sessions.cpp
@@ -80,6 +80,7 @@
                             const session_needs& needs, std::optional<backend_command> begin,
                             backend_command main, proxy_output& out) {
     auto& own = sessions_.at(connection);
+    own.deadline = needs.deadline;
     std::vector<backend_command> commands;
     // A connection that has gone silent unnoticed would leave a write with an unknown outcome, so
     // an answer to a reset has to come first.
@@ -118,6 +119,10 @@
     }
 }
 
+bool backend_sessions::overdue(time_point now, const session& own) {
+    return own.in_use && now >= own.deadline && (!own.waiting.empty() || own.held_main);
+}
+
 bool backend_sessions::on_ready(time_point now, const member_ready& ready, proxy_output& out) {
     const auto found = sessions_.find(ready.connection);
     if (found == sessions_.end()) {
@@ -149,6 +154,11 @@
         discard(replied.connection, out);
         return true;
     }
+    if (own.held_main && overdue(now, own)) {
+        out.sessions.emplace_back(close_member{replied.connection});
+        on_closed(now, {replied.connection, close_reason::timeout, statement_error::none}, out);
+        return true;
+    }
     own.heard = now;
     const auto ended = own.waiting.front();
     own.waiting.pop_front();
@@ -317,7 +327,8 @@
                                now - own.waiting.front().sent > settings_.abandoned_limit;
         if (unused || abandoned) {
             closing.push_back(id);
-        } else if (!own.open && now - own.opened_at > settings_.connect_limit) {
+        } else if (overdue(now, own) ||
+                   (!own.open && now - own.opened_at > settings_.connect_limit)) {
             failing.push_back(id);
         }
     }
--- a/src/core/sessions/member_owner.cpp
+++ b/src/core/sessions/member_owner.cpp
@@ -27,6 +27,7 @@
 
 void member_owner::submit(time_point now, const vm_id& entry, member_statement statement,
                           proxy_output& out) {
+    const auto given_up = now + statement.remaining;
     auto bound = leases_.find({entry, statement.lease});
     if (bound != leases_.end() && !backends_.holds(bound->second.connection)) {
         leases_.erase(bound); // The connection was lost while no statement waited on it.
@@ -34,7 +35,7 @@
     }
     if (bound != leases_.end()) {
         bound->second.used = now;
-        start(now, entry, std::move(statement), bound->second.connection, out);
+        start(now, {entry, std::move(statement), given_up}, bound->second.connection, out);
         return;
     }
     if (statement.continues) {
@@ -50,7 +51,7 @@
         log(out.common, "owner", log_level::info,
             "not_run request=" + statement.main.id.str() + " entry=" + entry.str() +
                 " backend=" + statement.backend.str() + " reason=backlog_of_a_pause");
-        give_back({entry, std::move(statement)}, statement_error::busy);
+        give_back({entry, std::move(statement), given_up}, statement_error::busy);
         return;
     }
     const auto& backend = statement.backend;
@@ -62,7 +63,7 @@
     }
     const auto deadline = now + std::min(statement.remaining, settings_.queue_time);
     const auto organisation = statement.organisation;
-    queued waiting{entry, std::move(statement)};
+    queued waiting{entry, std::move(statement), given_up};
     if (!queue.push(queue_ids_.next(), organisation, weight, 1, deadline, waiting)) {
         give_back(waiting, statement_error::busy);
         return;
@@ -91,15 +92,17 @@
             continue;
         }
         leases_[{next->item.entry, next->item.statement.lease}] = {*connection, backend, now};
-        start(now, next->item.entry, std::move(next->item.statement), *connection, out);
+        start(now, std::move(next->item), *connection, out);
     }
 }
 
-void member_owner::start(time_point now, const vm_id& entry, member_statement statement,
-                         connection_id connection, proxy_output& out) {
+void member_owner::start(time_point now, queued next, connection_id connection, proxy_output& out) {
     const auto attempt = attempt_ids_.next();
-    running_[attempt] = {{entry, statement.lease}, statement.attempt};
-    backends_.send(now, connection, attempt, needs_of(statement), std::move(statement.begin),
+    auto& statement = next.statement;
+    running_[attempt] = {{next.entry, statement.lease}, statement.attempt};
+    auto needs = needs_of(statement);
+    needs.deadline = next.deadline;
+    backends_.send(now, connection, attempt, needs, std::move(statement.begin),
                    std::move(statement.main), out);
 }
 
--- a/tests/core/statement_executor_test.cpp
+++ b/tests/core/statement_executor_test.cpp
@@ -1,5 +1,7 @@
 #include "jackdawvane/sessions/statement_executor.hpp"
 
+#include <algorithm>
+
 #include "session_fixture.hpp"
 #include <gtest/gtest.h>
 
@@ -418,6 +420,38 @@
     EXPECT_FALSE(fixture.take<open_member>().empty());
 }
 
+/// Guards against a statement that a cut has held up and that runs when the cut ends, seconds after
+/// its entry has tried it elsewhere.
+TEST(MemberOwner, EndsConnectionsWhoseStatementIsGivenUp) {
+    session_fixture fixture;
+    member_statement statement;
+    statement.backend = backend_server_id{"r1"};
+    statement.organisation = organisation_id{"o"};
+    statement.remaining = std::chrono::seconds{1};
+    statement.begin.emplace();
+    std::vector<connection_id> connections;
+    for (std::uint64_t number = 1; number <= 2; ++number) {
+        statement.lease = connection_id{100 + number};
+        fixture.owner.submit(at(1), vm_id{"b"}, statement, fixture.out);
+        connections.push_back(fixture.take<open_member>().front().connection);
+        fixture.backends.on_ready(at(5), {connections.back(), {}}, fixture.out);
+    }
+    EXPECT_EQ(fixture.commands().size(), 2U);
+    fixture.backends.tick(at(990), fixture.out);
+    EXPECT_TRUE(fixture.take<close_member>().empty());
+    fixture.backends.on_reply(at(1001),
+                              {connections[0], success(transaction_state::open, point(1, 10)), {}},
+                              fixture.out);
+    fixture.backends.tick(at(1200), fixture.out);
+    EXPECT_TRUE(fixture.commands().empty()) << "the transaction's statement was sent";
+    EXPECT_EQ(fixture.take<close_member>().size(), 2U);
+    fixture.owner.settle(at(1200), fixture.out);
+    const auto results = fixture.owner.take_results();
+    ASSERT_EQ(results.size(), 2U);
+    EXPECT_TRUE(std::none_of(results.begin(), results.end(),
+                             [](const auto& each) { return each.result.answered; }));
+}
+
 // Guards against the rest of a lost transaction that is reported as refused: its session would stay
 // in the transaction.
 TEST(MemberOwner, TellsTheLossOfATransactionDuringAPause) {
