--- /dev/null
+++ b/tests/core/member_owner_test.cpp
@@ -0,0 +1,149 @@
+#include "jackdawvane/sessions/member_owner.hpp"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "session_fixture.hpp"
+#include <gtest/gtest.h>
+
+namespace jackdawvane {
+namespace {
+
+using namespace testing; // NOLINT(google-build-using-namespace)
+
+TEST(MemberOwner, DoesNotRunTheRestOfALostTransaction) {
+    session_fixture fixture;
+    member_statement statement;
+    statement.lease = connection_id{1000};
+    statement.attempt = attempt_id{1000};
+    statement.backend = backend_server_id{"p"};
+    statement.continues = true;
+    fixture.owner.submit(at(1), vm_id{"b"}, statement, fixture.out);
+    EXPECT_TRUE(fixture.take<open_member>().empty());
+    const auto results = fixture.owner.take_results();
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_FALSE(results.front().result.answered);
+    EXPECT_FALSE(results.front().result.sent);
+}
+
+// Guards against a statement that runs when its VM wakes, seconds after its entry has tried it
+// elsewhere: the first statement of a transaction then ran on two connections (soak seed 1).
+TEST(MemberOwner, GivesBackAsNotRunWhatArrivedDuringAPause) {
+    session_fixture fixture;
+    member_statement statement;
+    statement.backend = backend_server_id{"r1"};
+    statement.organisation = organisation_id{"o"};
+    statement.remaining = std::chrono::seconds{1};
+    fixture.owner.paused(at(5000));
+    fixture.owner.submit(at(5001), vm_id{"b"}, statement, fixture.out);
+    EXPECT_TRUE(fixture.take<open_member>().empty());
+    const auto results = fixture.owner.take_results();
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results.front().result.reply.problem, statement_error::busy);
+    EXPECT_FALSE(results.front().result.sent);
+    fixture.owner.submit(at(5300), vm_id{"b"}, statement, fixture.out);
+    EXPECT_FALSE(fixture.take<open_member>().empty());
+}
+
+/// Guards against a statement that a cut has held up and that runs when the cut ends, seconds after
+/// its entry has tried it elsewhere.
+TEST(MemberOwner, EndsConnectionsWhoseStatementIsGivenUp) {
+    session_fixture fixture;
+    member_statement statement;
+    statement.backend = backend_server_id{"r1"};
+    statement.organisation = organisation_id{"o"};
+    statement.remaining = std::chrono::seconds{1};
+    statement.begin.emplace();
+    std::vector<connection_id> connections;
+    for (std::uint64_t number = 1; number <= 2; ++number) {
+        statement.lease = connection_id{100 + number};
+        fixture.owner.submit(at(1), vm_id{"b"}, statement, fixture.out);
+        connections.push_back(fixture.take<open_member>().front().connection);
+        fixture.backends.on_ready(at(5), {connections.back(), {}}, fixture.out);
+    }
+    EXPECT_EQ(fixture.commands().size(), 2U);
+    fixture.backends.tick(at(990), fixture.out);
+    EXPECT_TRUE(fixture.take<close_member>().empty());
+    fixture.backends.on_reply(at(1001),
+                              {connections[0], success(transaction_state::open, point(1, 10)), {}},
+                              fixture.out);
+    fixture.backends.tick(at(1200), fixture.out);
+    EXPECT_TRUE(fixture.commands().empty()) << "the transaction's statement was sent";
+    EXPECT_EQ(fixture.take<close_member>().size(), 2U);
+    fixture.owner.settle(at(1200), fixture.out);
+    const auto results = fixture.owner.take_results();
+    ASSERT_EQ(results.size(), 2U);
+    EXPECT_TRUE(std::none_of(results.begin(), results.end(),
+                             [](const auto& each) { return each.result.answered; }));
+}
+
+// Guards against the rest of a lost transaction that is reported as refused: its session would stay
+// in the transaction.
+TEST(MemberOwner, TellsTheLossOfATransactionDuringAPause) {
+    session_fixture fixture;
+    member_statement statement;
+    statement.backend = backend_server_id{"r1"};
+    statement.continues = true;
+    fixture.owner.paused(at(5000));
+    fixture.owner.submit(at(5001), vm_id{"b"}, statement, fixture.out);
+    const auto results = fixture.owner.take_results();
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_FALSE(results.front().result.answered);
+}
+
+// Load: one organisation sends many statements at once; the other's first one is not behind them.
+TEST(MemberOwner, ServesOrganisationsInTurn) {
+    session_fixture fixture;
+    const auto submit = [&](const char* organisation, std::uint64_t number) {
+        member_statement statement;
+        statement.lease = connection_id{1000 + number};
+        statement.attempt = attempt_id{1000 + number};
+        statement.backend = backend_server_id{"r1"};
+        statement.organisation = organisation_id{organisation};
+        statement.main.value = organisation;
+        statement.remaining = std::chrono::seconds{1};
+        fixture.owner.submit(at(1), vm_id{"b"}, statement, fixture.out);
+    };
+    for (std::uint64_t i = 0; i < 12; ++i) {
+        submit("busy", i);
+    }
+    submit("quiet", 50);
+    fixture.accept(2);
+    const auto running = fixture.commands();
+    ASSERT_EQ(running.size(), 4U); // The window: two statements for each slot.
+    fixture.reply(3, running.front().first, success(transaction_state::idle, point(1, 10)));
+    fixture.owner.release(at(3), vm_id{"b"}, {connection_id{1000}, {}, false, false}, fixture.out);
+    fixture.reply(4, running[1].first, success(transaction_state::idle, point(1, 10)));
+    fixture.accept(5);
+    bool quiet_served = false;
+    for (const auto& [connection, command] : fixture.commands()) {
+        quiet_served = quiet_served || command.value == "quiet";
+    }
+    EXPECT_TRUE(quiet_served);
+}
+
+TEST(MemberOwner, GivesBackAsNotRunWhatDoesNotStartInTime) {
+    session_fixture fixture;
+    for (std::uint64_t i = 0; i < 6; ++i) {
+        member_statement statement;
+        statement.lease = connection_id{1000 + i};
+        statement.attempt = attempt_id{1000 + i};
+        statement.backend = backend_server_id{"r1"};
+        statement.organisation = organisation_id{"o"};
+        statement.remaining = std::chrono::seconds{1};
+        fixture.owner.submit(at(1), vm_id{"b"}, statement, fixture.out);
+    }
+    fixture.accept(2);
+    fixture.owner.settle(at(300), fixture.out);
+    const auto results = fixture.owner.take_results();
+    ASSERT_EQ(results.size(), 2U);
+    for (const auto& each : results) {
+        EXPECT_EQ(each.result.reply.problem, statement_error::busy);
+        EXPECT_FALSE(each.result.sent);
+    }
+}
+
+} // namespace
+} // namespace jackdawvane
