Copy platform/ for the mutation check

Cause: the build of the copied sources has targets in platform/, which the tool did not copy, so it ended before its first entry.

Change: the folder is copied, too.

--- a/tools/mutation-check.py
+++ b/tools/mutation-check.py
@@ -17,7 +17,7 @@
 WORK = ROOT / "build-mutation"
 PARALLEL_JOBS = "4"  # Most entries change one file; more jobs only slow others down.
 TEST_SECONDS = 300
-SOURCES = ["CMakeLists.txt", "include", "src", "tests"]
+SOURCES = ["CMakeLists.txt", "include", "platform", "src", "tests"]
 
 
 def run(command, **options):
