Try for the duty by the present rank

Cause: since a VM waited by the rank that it had at its last try. A VM that is cut off from the others counts them as gone and comes first, but still waited up to 7 s.

Test: DutyLease.VmThatComesFirstTriesByItsNewRank fails on the former code and passes now.

--- a/include/jackdawvane/sessions/duty_lease.hpp
+++ b/include/jackdawvane/sessions/duty_lease.hpp
@@ -61,7 +61,8 @@
     bool started_{false};
     std::uint64_t fence_{0};
     time_point until_{time_point::min()};
-    time_point next_{};
+    time_point next_{};  ///< Renewal of the holder.
+    time_point tried_{}; ///< Last try of a VM that does not hold the duty.
     bool pending_{false};
     request_id call_;
     store_operation operation_{store_operation::acquire_lease};
--- a/src/core/sessions/duty_lease.cpp
+++ b/src/core/sessions/duty_lease.cpp
@@ -27,8 +27,7 @@
     out.emplace_back(std::move(request));
 }
 
-/// The first candidates all try from the start. The others wait, so that they do not all ask at
-/// once, and ask the more rarely the more VMs come before them.
+/// A VM asks the more rarely the more VMs come before it.
 duration duty_lease::pause_of(std::size_t rank) const {
     return settings_.try_interval * static_cast<int>(rank + 1);
 }
@@ -37,25 +36,26 @@
     if (leaving_) {
         return;
     }
-    if (!std::exchange(started_, true) && rank >= settings_.candidates) {
-        next_ = now + pause_of(rank);
+    if (!std::exchange(started_, true)) {
+        // Those after the first candidates wait, so that a fleet does not ask all at once.
+        tried_ = rank < settings_.candidates ? now - pause_of(rank) : now;
     }
     if (holder_ && now >= until_) {
         holder_ = false;
-        next_ = now;
         log(out, log_part, log_level::warning, "lost: the lease may have ended");
     }
     if (pending_ && now - sent_ > call_limit) {
         pending_ = false;
     }
-    if (pending_ || now < next_) {
+    if (pending_) {
         return;
     }
-    if (holder_) {
+    // The present rank counts: those before this VM may have gone since its last try.
+    if (holder_ && now >= next_) {
         next_ = now + settings_.renewal;
         call(now, store_operation::keep_lease, out);
-    } else {
-        next_ = now + pause_of(rank);
+    } else if (!holder_ && now >= tried_ + pause_of(rank)) {
+        tried_ = now;
         call(now, store_operation::acquire_lease, out);
     }
 }
--- a/tests/core/promotion_duty_test.cpp
+++ b/tests/core/promotion_duty_test.cpp
@@ -312,6 +312,28 @@
                                            duty_rank_case{3, 4'000, 15},
                                            duty_rank_case{20, 21'000, 2}));
 
+/// Guards against a VM that waits by its former rank after those before it have gone.
+TEST(DutyLease, VmThatComesFirstTriesByItsNewRank) {
+    id_sequence<request_id> requests;
+    duty_lease lease{vm_id{"a"}, {}, requests};
+    const auto tries_at = [&](int ms, std::size_t rank) {
+        actions out;
+        lease.tick(at(ms), rank, out);
+        for (const auto& each : out) {
+            if (const auto* request = std::get_if<store_request>(&each)) {
+                actions answers;
+                lease.on_store(at(ms), {request->id, store_status::conflict, {}, 0, {}}, answers);
+                return true;
+            }
+        }
+        return false;
+    };
+    EXPECT_FALSE(tries_at(0, 6));
+    EXPECT_TRUE(tries_at(7'000, 6));
+    EXPECT_FALSE(tries_at(7'500, 0));
+    EXPECT_TRUE(tries_at(8'000, 0));
+}
+
 TEST(DutyLease, RenewalThatFindsTheLeaseEndedLosesTheDuty) {
     id_sequence<request_id> ids;
     duty_lease lease{vm_id{"a"}, {}, ids};
