--- a/review/standins.py
+++ b/review/standins.py
@@ -219,12 +219,14 @@
     """`POST /promote`."""
 
     def __init__(self, record, groups):
-        self.record, self.groups = record, groups
+        self.record, self.groups, self.calls = record, groups, []
 
     async def handle(self, method, target, head, body, peer):
         wanted = json.loads(body)
-        token = re.search(r'x-jackdawvane-fencing-token: *(\S+)', head, re.I)[1]
-        self.record('promote', service=wanted['service'], id=wanted['id'], fence=token, by=peer)
+        token = int(re.search(r'x-jackdawvane-fencing-token: *(\S+)', head, re.I)[1])
+        holder = re.search(r'x-jackdawvane-lease-holder: *(\S+)', head, re.I)[1]
+        self.calls.append((holder, token, wanted['service'], wanted['id']))
+        self.record('promote', service=wanted['service'], id=wanted['id'], fence=token, by=holder)
         member = self.groups[wanted['service']].members[wanted['id']]
         if not member.running:
             return 409, {}
@@ -282,11 +284,30 @@
         self.runs = {}        # id of the statement -> (signature, rows)
         self.work = lambda verb, rest: 0.009             # hook: seconds in a slot
         self.answer = lambda verb, rest: None            # hook: error code after the run
-        self.refuse = lambda verb, rest: None            # hook: error code without a run
+        self.refuse = lambda verb, rest: None            # hook: error code, and nothing is done
+        self.seen = lambda session, id: None             # hook: sees the session of each run
         group.members[id] = self
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, self.host, self.port, limit=2 ** 20)
+        self.server = await asyncio.start_server(self.serve, self.host, self.port, limit=2 ** 22)
+
+    def crash(self):
+        """The process ends: its port refuses connections, its log stays."""
+        self.record('crashed', member=self.id)
+        self.running = False
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    def restart(self):
+        """The process starts again with its log, as a replica if another member was promoted."""
+        self.record('restarted', member=self.id)
+        self.running, self.held, self.born = True, 0, int(time.time() * 1000)
+        leader = self.group.primary()
+        if leader is not self:
+            self.role, self.term = 'replica', leader.term
+            self.log, self.data = list(leader.log), dict(leader.data)
+        self.starting = asyncio.create_task(self.start())
 
     def registration(self):
         self.sequence += 1
@@ -372,7 +393,10 @@
         if verb in local:
             if after and tuple(map(int, after.split('.'))) > self.log[-1][:2]:
                 return [], '-', 'LAGGING'
-            return [], '-', local[verb](session, rest)
+            error = self.refuse(verb, rest) or local[verb](session, rest)
+            if error and session['state'] == 'T':
+                session['state'] = 'E'
+            return [], '-', error
         if self.waiting >= self.queue:
             return [], '-', 'BUSY'
         error = self.refuse(verb, rest)
@@ -389,6 +413,7 @@
         if error is None:
             rows, signature, error = self.run(session, id, verb, rest)
             if caller:
+                self.seen(session, id)
                 self.record('ran', member=self.id, id=id, who=session['who'],
                             text=text.replace(' ', '_'), signature=signature,
                             rows=','.join(rows) or '-', error=error or '-',
@@ -486,7 +511,7 @@
 
     async def open(self, address, database, key):
         host, port = address.split(':')
-        self.reader, self.writer = await asyncio.open_connection(host, int(port))
+        self.reader, self.writer = await asyncio.open_connection(host, int(port), limit=2 ** 22)
         self.writer.write(f'STARTUP {database} {key}\r\n'.encode())
         return (await self.reader.readuntil(b'\r\n')).decode().strip()
 
@@ -681,11 +706,13 @@
         trouble = os.environ.get('TROUBLE', '1') != '0'
         broken = asyncio.run(asyncio.wait_for(case(deployment, trouble), 110))
     except (SystemExit, Exception) as problem:  # the case couldn't run
-        print(f'could not run: {problem!r}')
-        return 2
+        print(f'could not run: {problem!r}', flush=True)
+        broken = None
     finally:
         if deployment:
             deployment.stop()
+    if broken is None:
+        os._exit(2)
     deployment.record('end', broken=broken)
     print(f'broken {broken} times' if broken else 'held', flush=True)
     os._exit(1 if broken else 0)  # Open connections of the stand-ins need no orderly end.
