--- a/include/jackdawvane/sessions/session_proxy.hpp
+++ b/include/jackdawvane/sessions/session_proxy.hpp
@@ -121,6 +121,8 @@
     void apply_configuration(time_point now, proxy_output& out);
     void apply_membership(time_point now, proxy_output& out);
     void settle_statements(time_point now, proxy_output& out);
+    void accept_result(time_point now, const vm_id& from, const attempt_result& result,
+                       proxy_output& out);
     void handle_vm_loss(const vm_id& vm, proxy_output& out);
     void report_readiness(proxy_output& out);
     void finish_leaving(time_point now, proxy_output& out);
--- a/include/jackdawvane/sessions/statement_forwarder.hpp
+++ b/include/jackdawvane/sessions/statement_forwarder.hpp
@@ -42,7 +42,10 @@
     /// @brief Releases a lease and closes its connection, as its session state is unknown.
     void discard(time_point now, connection_id lease, proxy_output& out);
 
-    void on_result(time_point now, const attempt_result& result);
+    /// @brief Handles the result of an attempt.
+    /// @param from VM that sent it; results count only from the owner of the attempt's connection
+    /// @return whether the attempt was in flight at @a from
+    bool on_result(time_point now, const vm_id& from, const attempt_result& result);
     /// @brief Fails the attempts and drops the leases of a VM that is unreachable or gone.
     void on_vm_lost(const vm_id& vm);
     [[nodiscard]] std::vector<attempt_result> take_results();
@@ -59,6 +62,7 @@
     struct sent_attempt {
         connection_id lease;
         time_point sent{};
+        vm_id owner; ///< VM that it was sent to.
     };
     struct held_lease {
         vm_id owner;
@@ -81,6 +85,7 @@
     [[nodiscard]] location location_of(const backend_directory::entry& backend) const;
     void send_release(time_point now, const lease_release& release, const vm_id& owner,
                       proxy_output& out);
+    void accept_result(time_point now, const attempt_result& result);
     void end_attempt(time_point now, const attempt_result& result, bool measure);
 
     fleet_state& state_;
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -159,7 +159,7 @@
         const auto results = owner_.take_results();
         for (const auto& [entry, result] : results) {
             if (entry == settings_.self.vm) {
-                forwarder_.on_result(now, result);
+                accept_result(now, entry, result, out);
             } else if (const auto* vm = members_.entry_of(entry)) {
                 out.common.emplace_back(
                     send_to_peer{entry, vm->peer, peer_channel::stream, result});
@@ -170,6 +170,17 @@
     }
 }
 
+void session_proxy::accept_result(time_point now, const vm_id& from, const attempt_result& result,
+                                  proxy_output& out) {
+    if (!forwarder_.on_result(now, from, result)) {
+        count(out.common, "unknown_attempt_results_total");
+        log(out.common, "statement", log_level::debug,
+            "result dropped, its attempt is not in flight at its sender attempt=" +
+                std::to_string(result.attempt.value()) + " from=" + from.str() +
+                " backend=" + result.backend.str());
+    }
+}
+
 void session_proxy::handle_vm_loss(const vm_id& vm, proxy_output& out) {
     forwarder_.on_vm_lost(vm);
     owner_.forget(vm, out);
@@ -401,9 +412,9 @@
     owner_.submit(now, from.from, message, out);
 }
 
-void session_proxy::receive(time_point now, const peer_received& /*from*/,
-                            const attempt_result& message, proxy_output& /*out*/) {
-    forwarder_.on_result(now, message);
+void session_proxy::receive(time_point now, const peer_received& from,
+                            const attempt_result& message, proxy_output& out) {
+    accept_result(now, from.from, message, out);
 }
 
 void session_proxy::receive(time_point now, const peer_received& from, const lease_release& message,
--- a/src/core/sessions/statement_forwarder.cpp
+++ b/src/core/sessions/statement_forwarder.cpp
@@ -80,16 +80,17 @@
 }
 
 void statement_forwarder::send(time_point now, forwarded_statement statement, proxy_output& out) {
-    attempts_[statement.attempt] = {statement.lease, now};
-    ++loads_[statement.backend].running;
     const auto found = leases_.find(statement.lease);
+    attempts_[statement.attempt] = {statement.lease, now,
+                                    found == leases_.end() ? vm_id{} : found->second.owner};
+    ++loads_[statement.backend].running;
     if (found == leases_.end()) {
         // The VM that owned the connection is gone, so the transaction is lost.
         attempt_result lost;
         lost.attempt = statement.attempt;
         lost.lease = statement.lease;
         lost.backend = statement.backend;
-        on_result(now, lost);
+        accept_result(now, lost);
         return;
     }
     const auto& held = found->second;
@@ -104,7 +105,7 @@
         lost.lease = statement.lease;
         lost.backend = held.backend;
         lost.unreachable = true;
-        on_result(now, lost);
+        accept_result(now, lost);
         return;
     }
     out.common.emplace_back(
@@ -156,12 +157,19 @@
     attempts_.erase(found);
 }
 
-void statement_forwarder::on_result(time_point now, const attempt_result& result) {
+bool statement_forwarder::on_result(time_point now, const vm_id& from,
+                                    const attempt_result& result) {
     const auto sent = attempts_.find(result.attempt);
-    if (sent == attempts_.end()) {
-        return;
+    if (sent == attempts_.end() || sent->second.owner != from ||
+        sent->second.lease != result.lease) {
+        return false;
     }
-    const auto sent_at = sent->second.sent;
+    accept_result(now, result);
+    return true;
+}
+
+void statement_forwarder::accept_result(time_point now, const attempt_result& result) {
+    const auto sent_at = attempts_.at(result.attempt).sent;
     const auto lease = leases_.find(result.lease);
     if (result.unreachable && lease != leases_.end()) {
         unreachable_[{lease->second.owner, result.backend}] = now;
--- a/src/core/sessions/statement_results.cpp
+++ b/src/core/sessions/statement_results.cpp
@@ -24,15 +24,21 @@
                                        proxy_output& out) {
     const auto attempt = attempts_.find(result.attempt);
     if (attempt == attempts_.end()) {
+        // Its statement has ended; the session may be running another one by now.
+        count(out.common, "late_attempt_results_total");
         return;
     }
     const auto found = sessions_.find(attempt->second);
     attempts_.erase(attempt);
-    if (found == sessions_.end() || !found->second.work) {
+    if (found == sessions_.end() || !found->second.work ||
+        found->second.work->attempts.erase(result.attempt) == 0) {
+        log(out.common, "statement", log_level::error,
+            "result dropped, no statement has its attempt attempt=" +
+                std::to_string(result.attempt.value()) + " backend=" + result.backend.str());
+        forwarder_.discard(now, result.lease, out);
         return;
     }
     auto& session = found->second;
-    session.work->attempts.erase(result.attempt);
     if (result.answered) {
         handle_reply(now, session, result, out);
     } else {
@@ -52,7 +58,7 @@
 void statement_executor::handle_success(time_point now, caller_session& session,
                                         const attempt_result& result, proxy_output& out) {
     auto& work = *session.work;
-    abandon_attempts(now, session, false, out);
+    abandon_attempts(now, session, false, out); // A commit may wait for its confirmation.
     work.answered = now;
     const bool commits = work.statement.kind == statement_kind::commit
                              ? session.transaction.wrote
@@ -150,6 +156,17 @@
         enqueue(session);
         return;
     }
+    if (!work.attempts.empty()) {
+        // Only a single read has two attempts; the other one may still succeed.
+        forwarder_.release(now, result.lease, false, out);
+        log_statement(session, "attempt_failed",
+                      "backend=" + result.backend.str() +
+                          " problem=" + to_string(result.reply.problem) +
+                          " in_flight=" + std::to_string(work.attempts.size()) +
+                          " ms=" + milliseconds(now - work.received),
+                      log_level::info, out);
+        return;
+    }
     const bool single_read = !own_transaction && !work.writes;
     if (single_read && result.reply.problem == statement_error::failed &&
         work.tries < failed_read_tries) {
@@ -273,9 +290,12 @@
     finish(now, session, std::move(reply), out);
 }
 
+/// Answers the caller. Attempts that are still in flight are abandoned, so that none of their
+/// results can reach the session's next statement.
 void statement_executor::finish(time_point now, caller_session& session, statement_reply reply,
                                 proxy_output& out) {
     dequeue(session);
+    abandon_attempts(now, session, false, out);
     const auto elapsed = now - session.work->received;
     const bool succeeded = reply.problem == statement_error::none;
     log_statement(session, succeeded ? "done" : "not_done",
--- a/tests/core/session_fixture.hpp
+++ b/tests/core/session_fixture.hpp
@@ -152,6 +152,23 @@
         });
     }
 
+    /// @brief Sends a read and lets it wait until it is sent to a second server as well.
+    /// @return the connections of its first and its second attempt
+    std::pair<connection_id, connection_id> send_read_twice(std::int64_t milliseconds,
+                                                            statement read) {
+        send_statement(milliseconds, std::move(read));
+        accept(milliseconds + 1);
+        const auto first = commands();
+        confirm_primary(milliseconds + 300);
+        tick(milliseconds + 340);
+        accept(milliseconds + 341);
+        const auto second = commands();
+        if (first.size() != 1 || second.size() != 1) {
+            return {};
+        }
+        return {first.front().first, second.front().first};
+    }
+
     /// @brief Removes and returns the actions of one kind.
     template <class Action>
     std::vector<Action> take() {
@@ -206,7 +223,7 @@
         for (int i = 0; i < 4; ++i) {
             owner.settle(now, out);
             for (const auto& [entry, result] : owner.take_results()) {
-                forwarder.on_result(now, result);
+                forwarder.on_result(now, entry, result);
             }
             executor.settle(now, out);
         }
--- a/tests/core/statement_executor_test.cpp
+++ b/tests/core/statement_executor_test.cpp
@@ -142,6 +142,65 @@
     EXPECT_EQ(fixture.answers().size(), 1U);
 }
 
+struct failed_attempt_case {
+    const char* name;
+    bool first_fails; ///< Whether the first of the two attempts fails, else the second one.
+    statement_kind next;
+};
+
+class FailedAttempt : public ::testing::TestWithParam<failed_attempt_case> {};
+
+/// Guards against an answer that reaches the wrong statement: when one of the two attempts of a
+/// read failed, the read ended, and the late success of the other attempt answered the session's
+/// next statement (review/1: a write was reported as done that no server had run).
+TEST_P(FailedAttempt, LeavesTheReadToItsOtherAttempt) {
+    session_fixture fixture;
+    fixture.start(0);
+    const auto attempts = fixture.send_read_twice(10, read_one());
+    const auto next = GetParam().next == statement_kind::write ? write_one() : read_one();
+    fixture.send_statement(365, next);
+    fixture.answers();
+    const auto failing = GetParam().first_fails ? attempts.first : attempts.second;
+    const auto succeeding = GetParam().first_fails ? attempts.second : attempts.first;
+    fixture.reply(370, failing, failure(statement_error::failed, transaction_state::idle));
+    EXPECT_TRUE(fixture.answers().empty());
+    fixture.confirm_primary(379);
+    auto late = success(transaction_state::idle, point(1, 10));
+    late.signature = "late";
+    fixture.reply(380, succeeding, late);
+    const auto first = fixture.answers();
+    ASSERT_EQ(first.size(), 1U);
+    EXPECT_EQ(first.front().signature, "late");
+    fixture.accept(381);
+    const auto sent = fixture.commands();
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent.front().second.value, next.text);
+    fixture.reply(390, sent.front().first, success(transaction_state::idle, point(1, 11)));
+    const auto second = fixture.answers();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second.front().signature, "s");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    StatementExecutor, FailedAttempt,
+    ::testing::Values(failed_attempt_case{"second_before_a_read", false, statement_kind::read},
+                      failed_attempt_case{"second_before_a_write", false, statement_kind::write},
+                      failed_attempt_case{"first_before_a_read", true, statement_kind::read},
+                      failed_attempt_case{"first_before_a_write", true, statement_kind::write}),
+    [](const auto& tested) { return std::string{tested.param.name}; });
+
+/// Guards against a read that never ends because each of its attempts waits for the other.
+TEST_F(StatementExecutor, ReadFailsOnceBothAttemptsHaveFailed) {
+    const auto attempts = fixture.send_read_twice(10, read_one());
+    const auto failed = failure(statement_error::failed, transaction_state::idle);
+    fixture.reply(370, attempts.second, failed);
+    EXPECT_TRUE(fixture.answers().empty());
+    fixture.reply(380, attempts.first, failed);
+    const auto answers = fixture.answers();
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().problem, statement_error::failed);
+}
+
 // Without evidence of the leadership, a write could be acknowledged by a replaced primary.
 TEST_F(StatementExecutor, WriteWaitsForProofAndIsRefusedAsNotRun) {
     fixture.send_statement(900, write_one());
