--- a/include/jackdawvane/sessions/connection_owner.hpp
+++ b/include/jackdawvane/sessions/connection_owner.hpp
@@ -50,6 +50,8 @@
     void tick(time_point now, proxy_output& out);
 
     [[nodiscard]] std::vector<owner_result> take_results();
+    /// @brief Whether statements of any VM are queued or running here.
+    [[nodiscard]] bool busy() const;
 
   private:
     struct lease_key {
--- a/include/jackdawvane/sessions/statement_executor.hpp
+++ b/include/jackdawvane/sessions/statement_executor.hpp
@@ -72,7 +72,8 @@
     /// connections.
     duration load_balancer_delay{std::chrono::milliseconds{2300}};
     duration grace{std::chrono::seconds{6}}; ///< Time from the stop signal to the kill signal.
-    /// The graceful shutdown ends this long before the kill signal, even if sessions remain.
+    /// The graceful shutdown ends this long before the kill signal; statements that are still
+    /// running are answered then.
     duration exit_margin{std::chrono::milliseconds{1200}};
 };
 
@@ -102,11 +103,16 @@
     void tick(time_point now, proxy_output& out);
     [[nodiscard]] time_point next_deadline() const noexcept { return next_tick_; }
 
-    /// @brief Begins the graceful shutdown: sessions are ended once they are idle.
+    /// @brief Begins the graceful shutdown.
+    ///
+    /// Once the load balancer opens no more connections, a session ends when it is idle or its
+    /// operation has ended. After half of the grace time no operation begins. At `exit_time` every
+    /// statement without an answer gets its final one, and all sessions end.
     void leave(time_point now);
-    /// @brief Whether the graceful shutdown is complete: all sessions have ended, or the time for
-    /// it is over.
+    /// @brief Whether the graceful shutdown is complete: all sessions have ended.
     [[nodiscard]] bool left(time_point now) const noexcept;
+    /// @brief When the graceful shutdown ends at the latest; `no_deadline` before `leave`.
+    [[nodiscard]] time_point exit_time() const noexcept;
     /// @brief Rejects new sessions from now on: the process is about to exit, and an accepted
     /// caller would get no answer.
     void close() noexcept { closed_ = true; }
@@ -144,7 +150,8 @@
     void start_ending(time_point now, caller_session& session, statement next, proxy_output& out);
     void start_operation(time_point now, caller_session& session, statement next,
                          proxy_output& out);
-    void start_in_transaction(time_point now, caller_session& session, statement next);
+    void start_in_transaction(time_point now, caller_session& session, statement next,
+                              proxy_output& out);
     void on_admitted(time_point now, caller_session& session, proxy_output& out);
     [[nodiscard]] std::optional<refusal> select_route(caller_session& session);
     [[nodiscard]] bool writes(const caller_session& session, const statement& next) const;
@@ -185,6 +192,8 @@
     void handle_connection_loss(time_point now, caller_session& session,
                                 const attempt_result& result, proxy_output& out);
     void check_confirmation(time_point now, caller_session& session, proxy_output& out);
+    void give_up_confirmation(time_point now, caller_session& session, const char* why,
+                              proxy_output& out);
     void deliver(time_point now, caller_session& session, const attempt_result& result,
                  proxy_output& out);
     void retry(time_point now, caller_session& session, const attempt_result& result,
@@ -196,6 +205,14 @@
                 std::string detail, proxy_output& out);
     void check_progress(time_point now, caller_session& session, proxy_output& out);
     void check_idle(time_point now, caller_session& session, proxy_output& out);
+
+    // Graceful shutdown.
+    [[nodiscard]] bool ends_sessions(time_point now) const noexcept;
+    [[nodiscard]] bool refuses_operations(time_point now) const noexcept;
+    [[nodiscard]] bool may_end(time_point now, const caller_session& session) const noexcept;
+    void end_after_operation(time_point now, session_id id, proxy_output& out);
+    void end_unanswered(time_point now, caller_session& session, proxy_output& out);
+    void end_all_sessions(time_point now, proxy_output& out);
     void close(time_point now, session_id id, proxy_output& out);
     [[nodiscard]] std::string leadership_evidence(time_point now,
                                                   const caller_session& session) const;
--- a/src/core/sessions/connection_owner.cpp
+++ b/src/core/sessions/connection_owner.cpp
@@ -195,6 +195,14 @@
     }
 }
 
+bool connection_owner::busy() const {
+    // The entry VM has given up a running statement whose lease it has released.
+    return std::any_of(queues_.begin(), queues_.end(),
+                       [](const auto& each) { return !each.second.empty(); }) ||
+           std::any_of(running_.begin(), running_.end(),
+                       [&](const auto& each) { return leases_.contains(each.second.key); });
+}
+
 std::vector<owner_result> connection_owner::take_results() {
     return std::exchange(results_, {});
 }
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -246,14 +246,17 @@
     if (stopped_ || !executor_.left(now)) {
         return;
     }
-    if (!limiter_.left() && executor_.sessions() == 0 &&
-        now < leave_started_ + share_return_timeout) {
+    if (!limiter_.left() && now < leave_started_ + share_return_timeout) {
         return;
     }
+    if (owner_.busy() && now < executor_.exit_time()) {
+        return; // The end of this process would cut statements of callers at other VMs.
+    }
     stopped_ = true;
     executor_.close();
     log(out.common, "proxy", log_level::info,
-        "stopped sessions=" + std::to_string(executor_.sessions()));
+        "stopped after_ms=" + std::to_string(to_milliseconds(now - leave_started_)) +
+            " foreign_statements=" + (owner_.busy() ? "1" : "0"));
     observer_.leave(out);
     backends_.leave(out);
     out.common.emplace_back(stopped{});
--- a/src/core/sessions/statement_executor.cpp
+++ b/src/core/sessions/statement_executor.cpp
@@ -12,6 +12,8 @@
 
 constexpr duration busy_tick_interval = std::chrono::milliseconds{10};
 constexpr duration idle_tick_interval = std::chrono::milliseconds{100};
+/// Other VMs accept the statement at once.
+constexpr const char* stopping_detail = "this VM is stopping; retry_after_ms=0";
 
 statement_reply local_reply(transaction_state state) {
     statement_reply reply;
@@ -207,7 +209,7 @@
     if (state == transaction_state::idle) {
         start_operation(now, session, std::move(next), out);
     } else {
-        start_in_transaction(now, session, std::move(next));
+        start_in_transaction(now, session, std::move(next), out);
     }
 }
 
@@ -227,7 +229,7 @@
                                       proxy_output& out) {
     const bool failed = session.transaction.state == transaction_state::failed;
     if (next.kind == statement_kind::commit && !failed) {
-        start_in_transaction(now, session, std::move(next));
+        start_in_transaction(now, session, std::move(next), out);
         return;
     }
     auto reply = local_reply(transaction_state::idle);
@@ -237,6 +239,7 @@
     }
     end_transaction(now, session, out);
     out.sessions.emplace_back(answer_statement{session.id, std::move(reply)});
+    end_after_operation(now, session.id, out);
 }
 
 void statement_executor::end_transaction(time_point now, caller_session& session,
@@ -269,6 +272,10 @@
         refuse(now, session, problem->problem, problem->detail, out);
         return;
     }
+    if (refuses_operations(now)) {
+        refuse(now, session, statement_error::busy, stopping_detail, out);
+        return;
+    }
     const auto& row = *routes_.at(session.id).row;
     session.work->deadline = now + from_milliseconds(row.deadline_ms);
     session.work->needs_primary = session.work->writes ||
@@ -315,7 +322,7 @@
 }
 
 void statement_executor::start_in_transaction(time_point now, caller_session& session,
-                                              statement next) {
+                                              statement next, proxy_output& out) {
     const auto& row = *routes_.at(session.id).row;
     statement_work work;
     work.received = now;
@@ -329,21 +336,11 @@
     work.statement = std::move(next);
     session.work = std::move(work);
     active_sessions_.insert(session.id);
-    enqueue(session);
-}
-
-void statement_executor::leave(time_point now) {
-    if (!leaving_since_) {
-        leaving_since_ = now;
-    }
-}
-
-bool statement_executor::left(time_point now) const noexcept {
-    if (!leaving_since_) {
-        return false;
+    if (refuses_operations(now) && session.work->statement.kind != statement_kind::commit) {
+        refuse(now, session, statement_error::aborted, stopping_detail, out);
+        return;
     }
-    const bool over = now >= *leaving_since_ + settings_.grace - settings_.exit_margin;
-    return over || (sessions_.empty() && now >= *leaving_since_ + settings_.load_balancer_delay);
+    enqueue(session);
 }
 
 void statement_executor::settle(time_point now, proxy_output& out) {
@@ -360,6 +357,9 @@
 }
 
 void statement_executor::tick(time_point now, proxy_output& out) {
+    if (now >= exit_time()) {
+        end_all_sessions(now, out);
+    }
     const auto working = active_sessions_;
     for (const auto id : working) {
         const auto found = sessions_.find(id);
@@ -385,7 +385,7 @@
 void statement_executor::check_idle(time_point now, caller_session& session, proxy_output& out) {
     if (session.transaction.state == transaction_state::open) {
         const auto limit = from_milliseconds(routes_.at(session.id).row->transaction_idle_ms);
-        const bool stop_due = leaving_since_ && now >= *leaving_since_ + settings_.grace / 2;
+        const bool stop_due = refuses_operations(now);
         if (now - session.last_activity < limit && !stop_due) {
             return;
         }
@@ -394,13 +394,10 @@
         end_transaction(now, session, out);
         session.transaction.state = transaction_state::failed;
     }
-    if (!leaving_since_ || now < *leaving_since_ + settings_.load_balancer_delay ||
-        (session.transaction.state == transaction_state::failed &&
-         now < *leaving_since_ + settings_.grace / 2)) {
-        return;
+    if (may_end(now, session)) {
+        out.sessions.emplace_back(end_session{session.id});
+        close(now, session.id, out);
     }
-    out.sessions.emplace_back(end_session{session.id});
-    close(now, session.id, out);
 }
 
 void statement_executor::log_statement(const caller_session& session, const char* outcome,
--- a/src/core/sessions/statement_results.cpp
+++ b/src/core/sessions/statement_results.cpp
@@ -93,13 +93,19 @@
         state_.groups_awaiting_evidence.insert(routes_.at(session.id).group);
         return;
     }
-    const auto connection = work.unconfirmed_result->lease;
-    work.unconfirmed_result.reset();
+    give_up_confirmation(now, session, "the primary may have been replaced before the commit", out);
+}
+
+/// Ends a commit that was answered but not confirmed.
+void statement_executor::give_up_confirmation(time_point now, caller_session& session,
+                                              const char* why, proxy_output& out) {
+    const auto connection = session.work->unconfirmed_result->lease;
+    session.work->unconfirmed_result.reset();
     session.transaction = {};
     forwarder_.discard(now, connection, out);
     statement_reply reply;
     reply.problem = statement_error::unknown_outcome;
-    reply.detail = "the primary may have been replaced before the commit";
+    reply.detail = why;
     finish(now, session, std::move(reply), out);
 }
 
@@ -310,8 +316,10 @@
     session.work.reset();
     active_sessions_.erase(session.id);
     session.last_activity = now;
-    out.sessions.emplace_back(answer_statement{session.id, std::move(reply)});
+    const auto id = session.id;
+    out.sessions.emplace_back(answer_statement{id, std::move(reply)});
     start_next(now, session, out);
+    end_after_operation(now, id, out);
 }
 
 /// Log fields: the known primary of the group, and the age of the evidence for it.
--- a/tests/core/connection_owner_test.cpp
+++ b/tests/core/connection_owner_test.cpp
@@ -126,6 +126,31 @@
     EXPECT_TRUE(quiet_served);
 }
 
+// Guards against a VM that stops while it runs statements for other VMs.
+TEST(ConnectionOwner, IsBusyUntilItsStatementsAreAnsweredOrGivenUp) {
+    session_fixture fixture;
+    const auto submit = [&](std::uint64_t number) {
+        forwarded_statement statement;
+        statement.lease = connection_id{1000 + number};
+        statement.attempt = attempt_id{1000 + number};
+        statement.backend = backend_server_id{"r1"};
+        statement.organisation = organisation_id{"o"};
+        statement.remaining = std::chrono::seconds{1};
+        fixture.owner.submit(at(1), vm_id{"b"}, statement, fixture.out);
+    };
+    EXPECT_FALSE(fixture.owner.busy());
+    submit(1);
+    submit(2);
+    fixture.accept(2);
+    const auto running = fixture.commands();
+    ASSERT_EQ(running.size(), 2U);
+    EXPECT_TRUE(fixture.owner.busy());
+    fixture.reply(3, running.front().first, success(transaction_state::idle, point(1, 10)));
+    EXPECT_TRUE(fixture.owner.busy());
+    fixture.owner.release(at(4), vm_id{"b"}, {connection_id{1002}, {}, false, true}, fixture.out);
+    EXPECT_FALSE(fixture.owner.busy());
+}
+
 TEST(ConnectionOwner, GivesBackAsNotRunWhatDoesNotStartInTime) {
     session_fixture fixture;
     for (std::uint64_t i = 0; i < 6; ++i) {
