Bound the wait of a VM that joins the holders of a rate

What callers saw: while all VMs restart in turn, refusals for many seconds of organisations that are below their rate.

Cause: a VM without an entry in the share record joins once the targets have not changed for join_settle, and each change began this wait anew. With two VMs restarting at any time the fleet changes more often than that, so nobody joined, and all parts became unassigned.

Change: join_settle_limit, 3 s from the time at which the VM became a target. The same limit holds for the settle time of join_at_.

--- a/include/jackdawvane/limits/share_ledger.hpp
+++ b/include/jackdawvane/limits/share_ledger.hpp
@@ -26,6 +26,8 @@
     duration join_spread{std::chrono::milliseconds{300}};
     /// A VM without an entry in the record joins once the targets have not changed for this time.
     duration join_settle{0};
+    /// It joins after this time even if they keep changing, for example while VMs restart in turn.
+    duration join_settle_limit{std::chrono::seconds{3}};
     duration takeover_step{std::chrono::seconds{2}}; ///< Delay per rank before shared work is done.
     /// A VM that is no longer a target releases its part after this time. Other VMs do not ask it
     /// for tokens, so its part is unused until then.
@@ -40,6 +42,7 @@
         return std::tuple{field("refresh_us", &share_settings::refresh),
                           field("join_spread_us", &share_settings::join_spread),
                           field("join_settle_us", &share_settings::join_settle),
+                          field("join_settle_limit_us", &share_settings::join_settle_limit),
                           field("takeover_step_us", &share_settings::takeover_step),
                           field("return_after_us", &share_settings::release_delay),
                           field("settle_us", &share_settings::settle),
@@ -208,6 +211,7 @@
     time_point join_at_{};
     time_point first_join_at_{}; ///< As `join_at_`, for a VM that has no entry in the record.
     time_point drained_at_{no_deadline}; ///< When an unused part may be released.
+    time_point targeted_since_{};
     time_point untargeted_since_{no_deadline};
     time_point incomplete_since_{no_deadline}; ///< Since when a target is missing in the record.
     time_point shared_work_at_{no_deadline};   ///< When to distribute the unassigned part.
--- a/src/core/limits/share_ledger.cpp
+++ b/src/core/limits/share_ledger.cpp
@@ -40,9 +40,13 @@
     // parts with VMs that are not targets in the end.
     const bool listed = record_.find(context_.self) != nullptr;
     if (target() && (!was_target || (changed && !listed))) {
+        const auto& settings = context_.settings;
+        targeted_since_ = was_target ? targeted_since_ : now;
         // An earlier incarnation may have tokens in transit.
-        join_at_ = now + context_.settings.settle + random_delay(context_.settings.join_spread);
-        first_join_at_ = join_at_ + context_.settings.join_settle;
+        const auto earliest = settings.settle + random_delay(settings.join_spread);
+        const auto limit = targeted_since_ + settings.join_settle_limit;
+        join_at_ = std::min(now + earliest, std::max(limit, targeted_since_ + earliest));
+        first_join_at_ = std::min(now + earliest + settings.join_settle, std::max(limit, join_at_));
         untargeted_since_ = no_deadline;
     } else if (!target() && was_target) {
         untargeted_since_ = now;
--- a/tests/core/share_ledger_test.cpp
+++ b/tests/core/share_ledger_test.cpp
@@ -194,6 +194,29 @@
     EXPECT_NEAR(rate_of(*a) + rate_of(*b), 90, 0.1);
 }
 
+/// Guards against a rate that nobody may use: while VMs restarted in turn, those that were back
+/// waited for a fleet that doesn't change, and all parts became unassigned.
+TEST_F(ShareLedger, VmJoinsWhileTheFleetKeepsChanging) {
+    for (auto* each : {a, b, c}) {
+        fleet.on(*each, [&](actions& out) { each->limiter->leave(fleet.now, out); });
+    }
+    fleet.run(seconds{2});
+    auto& first = fleet.start("e", 1, "d");
+    fleet.configure(first, 1, 90, 30);
+    limiter_fleet::node* passing = nullptr;
+    for (int i = 0; i < 20; ++i) {
+        // A VM of another group of targets comes or goes within each settle time.
+        if (passing == nullptr) {
+            passing = &fleet.start("f", static_cast<std::uint64_t>(i + 1), "d");
+        } else {
+            fleet.kill(*std::exchange(passing, nullptr));
+        }
+        fleet.announce_fleet();
+        fleet.run(from_milliseconds(250));
+    }
+    EXPECT_TRUE(fleet.ledger(first).holder());
+}
+
 /// Guards against a paused holder that uses a share which others have reclaimed meanwhile.
 TEST_F(ShareLedger, PausedHolderStopsUntilItsEntryIsConfirmed) {
     c->suspended = true;
