Use a part of a rate only while its holder's lease runs (QUOTA)

Cause: the lease was checked only after a pause of the holder's own process. A holder that couldn't renew it kept its part without end. A renewal that found the lease ended created it anew and reported success, and a VM entered the record before it had its first lease.

Change: the rate limiter checks the lease, by its own clock and with a margin, before each event that may use a part. A lapsed lease is treated as a pause past it was: no part is used until the lease is renewed and the entry written again. The store port reports a lease that was created anew by its version, which counts as a lapse. A VM joins the record only with a lease. Requests at a lapsed holder are refused at once if no other VM can give tokens. Leases last 60 s (5 s and, in jackdawvaned, 15 s before), as a shorter outage of the store would now stop organisations with a rate.

Why it works: the holder's use ends before the lease can expire in the store, and a reclaimer acts only after that; the holder's return needs a write of the record, which fails if a reclaimer wrote first.

--- a/include/jackdawvane/limits/rate_limiter.hpp
+++ b/include/jackdawvane/limits/rate_limiter.hpp
@@ -58,7 +58,7 @@
     /// @brief Called when the VM resumes after a pause, before any other event.
     ///
     /// If the lease may have expired, no share is used until the lease is renewed and this VM's
-    /// entry is confirmed in the record.
+    /// entry is confirmed in the record. The same holds whenever the lease has lapsed.
     void paused(time_point now, actions& out);
     /// @brief Releases all shares and the lease.
     void leave(time_point now, actions& out);
@@ -97,7 +97,9 @@
     };
     using row_map = std::unordered_map<organisation_id, configured_organisation>;
 
-    void finish_renewal(time_point now, store_status status, actions& out);
+    void advance_time(time_point now, actions& out);
+    void lose_lease(time_point now, const char* how, actions& out);
+    void finish_renewal(time_point now, const store_answer& answer, actions& out);
     void renew_lease(time_point now, actions& out);
     [[nodiscard]] bool needs_lease() const noexcept;
 
@@ -129,7 +131,8 @@
     std::set<std::pair<time_point, organisation_state*>> organisations_due_;
     std::map<request_id, organisation_state*> pending_; ///< Requests without a decision.
     time_point groups_due_{no_deadline};
-    bool holder_{false}; ///< Whether this VM holds a part of any group.
+    bool holder_{false};      ///< Whether this VM holds a part of any group.
+    bool needs_lease_{false}; ///< Whether it holds a part or is about to join.
     revision revision_;
     time_point configured_at_{}; ///< When the first configuration arrived.
     time_point now_{};
@@ -138,9 +141,10 @@
     std::set<request_id> abandoned_; ///< Lease calls from before a pause; answers are ignored.
     time_point lease_sent_{};
     time_point lease_until_{time_point::min()}; ///< The store keeps the lease until then.
+    std::uint64_t lease_version_{0};            ///< Changes when the store creates the lease anew.
     bool lease_pending_{false};
-    bool lease_held_{false};
-    bool lease_ends_{false}; ///< The call in flight releases the lease.
+    bool lease_stored_{false}; ///< The last answer found the lease in the store.
+    bool lease_ends_{false};   ///< The call in flight releases the lease.
     bool leaving_{false};
 };
 
--- a/include/jackdawvane/limits/share_group.hpp
+++ b/include/jackdawvane/limits/share_group.hpp
@@ -29,7 +29,8 @@
     /// @return whether the answer belongs to a call of this group
     bool on_store(time_point now, const store_answer& answer, actions& out);
     void on_notice(time_point now, const share_notice& notice, actions& out);
-    void paused(time_point now, actions& out);
+    void on_lease_lapsed(time_point now, actions& out);
+    void on_lease_renewed(time_point now, actions& out);
     /// @brief Releases this VM's part.
     void leave(time_point now, actions& out);
     void tick(time_point now, actions& out);
--- a/include/jackdawvane/limits/share_ledger.hpp
+++ b/include/jackdawvane/limits/share_ledger.hpp
@@ -59,8 +59,8 @@
     id_sequence<request_id>& ids;
     random_engine& random;
     std::map<vm_id, vm_entry> live; ///< VMs that are considered alive.
-    std::set<vm_id> gone;      ///< VMs that were listed once, are no longer, and reach no peer.
-    bool lease_renewed{false}; ///< Since the last pause past the lease.
+    std::set<vm_id> gone;   ///< VMs that were listed once, are no longer, and reach no peer.
+    bool lease_held{false}; ///< The store keeps this VM's lease, by this VM's clock.
 };
 
 /// @brief This VM's view of one group's share record, and its changes to it.
@@ -70,12 +70,14 @@
 /// of its own changes whose answer is outstanding or lost. Other VMs only raise a holder's part, or
 /// remove a holder that is gone. So each holder uses at most its part in the current record.
 ///
-/// A reclaimed part is not used by its former holder: a reclaimer finds the lease expired after it
-/// has seen version v of the record, and its write succeeds on version v only. A holder that was
-/// paused past its lease renews the lease, then writes the record unchanged, and only then uses its
-/// part. If that write comes first, the reclaimer's write fails and its next read of the lease
-/// finds it renewed. A read instead of the holder's write is not enough: the reclaimer's write
-/// could follow it.
+/// A reclaimed part is not used by its former holder: a holder uses its part only while its lease
+/// runs by its own clock, whose margin makes that end before the lease expires in the store. A
+/// reclaimer finds the lease expired after it has seen version v of the record, and its write
+/// succeeds on version v only. A holder whose lease has lapsed renews the lease, then writes the
+/// record unchanged, and only then uses its part. If that write comes first, the reclaimer's write
+/// fails and its next read of the lease finds it renewed. A read instead of the holder's write is
+/// not enough: the reclaimer's write could follow it. For the same reason a VM joins the record
+/// only once it has a lease.
 ///
 /// The rates in use never exceed the configured rate: a holder uses its part of the rate in the
 /// newest configuration that it has seen. As the parts sum to at most the whole, the sum of the
@@ -104,8 +106,11 @@
     /// @return whether the transfer was started
     bool start_transfer(time_point now, const vm_id& receiver, std::uint32_t part, actions& out);
 
-    /// @brief The VM was paused past its lease: its share is unusable until its entry is confirmed.
-    void paused(time_point now, actions& out);
+    /// @brief The VM's lease has lapsed: its part is unusable until its entry is confirmed.
+    void on_lease_lapsed(time_point now, actions& out);
+    /// @brief The VM has a lease again, or its first one: the store answers, so nothing waits for
+    /// the next retry.
+    void on_lease_renewed(time_point now, actions& out);
 
     /// @brief Releases this VM's part.
     void leave(time_point now, actions& out);
@@ -120,8 +125,13 @@
 
     /// @brief Whether this VM is a holder in the last record that it has seen.
     [[nodiscard]] bool holder() const noexcept;
-    /// @brief Whether the share may be used: confirmed since the last pause past the lease.
-    [[nodiscard]] bool verified() const noexcept { return verified_; }
+    /// @brief Whether the share may be used: this VM holds no part, or holds it under a lease that
+    /// has not lapsed since its entry was confirmed.
+    [[nodiscard]] bool verified() const noexcept;
+    /// @brief Whether this VM's part is unusable because its lease has lapsed.
+    [[nodiscard]] bool lapsed() const noexcept;
+    /// @brief Whether this VM needs a lease: it holds a part or is about to join.
+    [[nodiscard]] bool needs_lease() const noexcept;
     /// @brief Whether this VM's part was that of an earlier incarnation.
     [[nodiscard]] bool inherited() const noexcept { return inherited_; }
     /// @brief Whether this VM should hold a share.
@@ -193,7 +203,7 @@
     std::uint64_t version_{0};          ///< Version of `record_`.
     std::uint64_t notified_version_{0}; ///< Highest version that another VM reported.
     bool read_needed_{true};            ///< The current record is not known.
-    bool verified_{false};              ///< This VM's part may be used.
+    bool verified_{false};              ///< This VM's entry is confirmed.
     bool inherited_{false};
     bool confirm_needed_{false}; ///< This VM's entry has to be written again before it is used.
     std::vector<proposal> unresolved_;
--- a/include/jackdawvane/node/node.hpp
+++ b/include/jackdawvane/node/node.hpp
@@ -22,9 +22,9 @@
     duration probe_timeout{from_milliseconds(150)}; ///< Timeout after which a server is dead.
     duration promotion_rank_delay{from_milliseconds(200)}; ///< Delay per candidate rank.
     duration lease_renewal{std::chrono::seconds{5}};       ///< Interval of lease renewals.
-    /// Time until a lease expires unless it is renewed. The share of a killed VM is unavailable for
-    /// this time: a longer lease causes more rejected requests, a shorter one more store calls.
-    duration lease_duration{std::chrono::seconds{15}};
+    /// Time until a lease expires unless it is renewed. A VM that loses the store uses its share
+    /// until then, and the share of a killed VM is unavailable until then.
+    duration lease_duration{std::chrono::seconds{60}};
     duration token_wait{from_milliseconds(50)};       ///< Maximum wait for tokens of peers.
     std::size_t holders_per_domain{3};                ///< Share holders per failure domain.
     duration drain_timeout{std::chrono::seconds{30}}; ///< Maximum graceful shutdown time.
--- a/include/jackdawvane/node/store.hpp
+++ b/include/jackdawvane/node/store.hpp
@@ -22,7 +22,8 @@
     read,             ///< Value and version of a key.
     watch,            ///< As `read`, answered when the version is past `version` or after `wait`.
     compare_and_swap, ///< Write if the current version is `version`; 0 creates the key.
-    renew_lease,      ///< Create or renew the lease `key` for `lease` time with `value`.
+    renew_lease,      ///< Create or renew the lease `key` for `lease` time with `value`. The
+                      ///< version in the answer changes only when it is created anew.
     release_lease,    ///< End the lease `key`.
     list_vms,         ///< The VM list, answered when its version is past `version`.
     acquire_lease,    ///< Create the lease `key` with `value` unless it exists.
--- a/include/jackdawvane/sessions/session_proxy.hpp
+++ b/include/jackdawvane/sessions/session_proxy.hpp
@@ -44,8 +44,9 @@
     duration share_join_delay{from_milliseconds(1000)};
     duration share_release_delay{from_milliseconds(2000)};
     duration lease_renewal{from_milliseconds(1500)};
-    /// Lifetime of a lease that is not renewed; the share of a crashed VM is unusable until then.
-    duration lease_duration{from_milliseconds(5000)};
+    /// Lifetime of a lease that is not renewed. A VM that loses the store uses its share until
+    /// then, and the share of a crashed VM is unusable until then.
+    duration lease_duration{std::chrono::seconds{60}};
     executor_settings executor;
     backend_session_settings backends;
     owner_settings owner;
--- a/src/core/limits/organisation_limiter.cpp
+++ b/src/core/limits/organisation_limiter.cpp
@@ -60,7 +60,7 @@
         return {handle, admission_state::admitted, {error_kind::none, {}, {}}};
     }
     maybe_request_share(now, out);
-    const bool joins = ledger().target() && !uses_share();
+    const bool joins = ledger().target() && !uses_share() && !ledger().lapsed();
     const auto max_wait = joins ? context_.limits.joining : context_.limits.pending;
     const auto wait_deadline = std::min(deadline, now + max_wait);
     if (waiting_.size() >= max_waiting_requests || wait_deadline <= now) {
@@ -246,9 +246,9 @@
 }
 
 /// When this VM's share has tokens for all waiting requests. A share that is not confirmed yet may
-/// be confirmed at any moment.
+/// be confirmed at any moment, but a cut that made the lease lapse lasts longer than requests wait.
 time_point organisation_limiter::local_tokens_at(time_point now) const {
-    if (!context_.limits.waits_for_local_refill) {
+    if (!context_.limits.waits_for_local_refill || ledger().lapsed()) {
         return no_deadline;
     }
     return uses_share() ? bucket_.time_of(now, static_cast<double>(waiting_.size())) : now;
--- a/src/core/limits/rate_limiter.cpp
+++ b/src/core/limits/rate_limiter.cpp
@@ -1,5 +1,7 @@
 #include "jackdawvane/limits/rate_limiter.hpp"
 
+#include "jackdawvane/foundation/age_text.hpp"
+
 #include <utility>
 
 #include <algorithm>
@@ -35,7 +37,7 @@
 void rate_limiter::configure(time_point now,
                              const std::map<organisation_id, organisation_row>& rows,
                              revision newer, actions& out) {
-    now_ = now;
+    advance_time(now, out);
     if (newer <= revision_ || leaving_) {
         return;
     }
@@ -98,7 +100,7 @@
 
 void rate_limiter::set_fleet(time_point now, std::span<const vm_entry> live,
                              const std::set<vm_id>& gone, actions& out) {
-    now_ = now;
+    advance_time(now, out);
     std::map<vm_id, vm_entry> fleet;
     for (const auto& vm : live) {
         fleet.emplace_hint(fleet.end(), vm.vm, vm);
@@ -116,7 +118,7 @@
 
 admission rate_limiter::admit(time_point now, const organisation_id& organisation,
                               request_id handle, time_point deadline, actions& out) {
-    now_ = now;
+    advance_time(now, out);
     auto* const found = find_or_create(now, organisation, now, out);
     if (found == nullptr) {
         return {handle,
@@ -223,13 +225,15 @@
     group.due = group.share.next_deadline();
 }
 
-/// Next deadline of all groups, and whether this VM holds a part of any.
+/// Next deadline of all groups, and what this VM's parts of them require.
 void rate_limiter::summarise_groups() {
     groups_due_ = no_deadline;
     holder_ = false;
+    needs_lease_ = false;
     for (const auto& [id, each] : groups_) {
         groups_due_ = std::min(groups_due_, each.due);
         holder_ = holder_ || each.share.ledger().holder();
+        needs_lease_ = needs_lease_ || each.share.ledger().needs_lease();
     }
 }
 
@@ -247,7 +251,7 @@
 
 bool rate_limiter::on_peer(time_point now, const vm_id& from, const peer_message& message,
                            actions& out) {
-    now_ = now;
+    advance_time(now, out);
     return std::visit(
         [&](const auto& content) {
             if constexpr (limiter_message<std::decay_t<decltype(content)>>) {
@@ -302,12 +306,12 @@
 }
 
 bool rate_limiter::on_store(time_point now, const store_answer& answer, actions& out) {
-    now_ = now;
+    advance_time(now, out);
     if (abandoned_.erase(answer.id) > 0) {
         return true;
     }
     if (lease_pending_ && answer.id == lease_call_) {
-        finish_renewal(now, answer.status, out);
+        finish_renewal(now, answer, out);
         return true;
     }
     for (auto& [id, group] : groups_) {
@@ -324,22 +328,40 @@
     if (now < lease_until_) {
         return; // No VM can have found the lease expired.
     }
-    log(out, "limits", log_level::warning,
-        "paused past the lease; no share is used until its record entry is confirmed");
     if (std::exchange(lease_pending_, false)) {
         abandoned_.insert(lease_call_);
     }
-    context_.lease_renewed = false;
+    lose_lease(now, "after a pause", out);
+    renew_lease(now, out);
+}
+
+/// Has to precede every use of a part: its owner may use it only while the lease runs.
+void rate_limiter::advance_time(time_point now, actions& out) {
+    now_ = now;
+    if (context_.lease_held && now >= lease_until_) {
+        lose_lease(now, "without a renewal", out);
+        renew_lease(now, out);
+    }
+}
+
+/// Stops the use of all parts until the lease is renewed and their entries are confirmed.
+void rate_limiter::lose_lease(time_point now, const char* how, actions& out) {
+    context_.lease_held = false;
     lease_at_ = now;
+    if (holder_) {
+        count(out, "share_leases_lapsed_total");
+        log(out, "limits", log_level::warning,
+            std::string{"lease lapsed "} + how + " age_ms=" + age_text(now, lease_sent_) +
+                "; no share is used until its record entry is confirmed");
+    }
     for (auto& [id, group] : groups_) {
-        group.share.paused(now, out);
+        group.share.on_lease_lapsed(now, out);
     }
     refresh_all_groups(now, out);
-    renew_lease(now, out);
 }
 
 void rate_limiter::leave(time_point now, actions& out) {
-    now_ = now;
+    advance_time(now, out);
     leaving_ = true;
     for (auto& [id, group] : groups_) {
         group.share.leave(now, out);
@@ -348,13 +370,13 @@
 }
 
 bool rate_limiter::left() const noexcept {
-    return leaving_ && !lease_pending_ && !lease_held_ &&
+    return leaving_ && !lease_pending_ && !lease_stored_ &&
            std::all_of(groups_.begin(), groups_.end(),
                        [](const auto& entry) { return entry.second.share.ledger().left(); });
 }
 
 void rate_limiter::tick(time_point now, actions& out) {
-    now_ = now;
+    advance_time(now, out);
     for (auto& [id, group] : groups_) {
         if (group.due <= now) {
             group.share.tick(now, out);
@@ -377,7 +399,10 @@
 
 time_point rate_limiter::next_deadline() const {
     auto due = needs_lease() && !lease_pending_ ? lease_at_ : no_deadline;
-    if (leaving_ && lease_held_ && !needs_lease() && !lease_pending_) {
+    if (needs_lease() && context_.lease_held) {
+        due = std::min(due, lease_until_);
+    }
+    if (leaving_ && lease_stored_ && !needs_lease() && !lease_pending_) {
         due = now_;
     }
     if (!organisations_due_.empty()) {
@@ -405,22 +430,31 @@
 }
 
 bool rate_limiter::needs_lease() const noexcept {
-    return holder_;
+    return needs_lease_;
 }
 
-void rate_limiter::finish_renewal(time_point now, store_status status, actions& out) {
+void rate_limiter::finish_renewal(time_point now, const store_answer& answer, actions& out) {
     lease_pending_ = false;
-    lease_held_ = status == store_status::ok && !lease_ends_;
-    if (!lease_held_) {
+    lease_stored_ = answer.status == store_status::ok && !lease_ends_;
+    if (!lease_stored_) {
         const auto retry = context_.limits.lease_renewal / renewal_retry_divisor;
         lease_at_ = std::min(lease_at_, now + retry);
         return;
     }
+    if (context_.lease_held && answer.version != lease_version_) {
+        lose_lease(now, "in the store", out); // The renewal created it anew.
+    }
+    lease_version_ = answer.version;
     lease_until_ =
         lease_sent_ + context_.limits.lease - context_.limits.lease / clock_margin_divisor;
-    if (!std::exchange(context_.lease_renewed, true)) {
+    lease_at_ = std::max(lease_at_, lease_sent_ + context_.limits.lease_renewal);
+    if (now >= lease_until_) {
+        lease_at_ = now; // The answer took longer than the lease.
+        return;
+    }
+    if (!std::exchange(context_.lease_held, true)) {
         for (auto& [id, group] : groups_) {
-            group.share.tick(now, out);
+            group.share.on_lease_renewed(now, out);
         }
         refresh_all_groups(now, out);
     }
@@ -428,7 +462,7 @@
 
 void rate_limiter::renew_lease(time_point now, actions& out) {
     const bool needed = needs_lease();
-    const bool ends = !needed && lease_held_ && leaving_;
+    const bool ends = !needed && lease_stored_ && leaving_;
     if (lease_pending_ || (!ends && (!needed || now < lease_at_))) {
         return;
     }
--- a/src/core/limits/share_group.cpp
+++ b/src/core/limits/share_group.cpp
@@ -44,8 +44,12 @@
     ledger_.on_notice(now, notice, out);
 }
 
-void share_group::paused(time_point now, actions& out) {
-    ledger_.paused(now, out);
+void share_group::on_lease_lapsed(time_point now, actions& out) {
+    ledger_.on_lease_lapsed(now, out);
+}
+
+void share_group::on_lease_renewed(time_point now, actions& out) {
+    ledger_.on_lease_renewed(now, out);
 }
 
 void share_group::leave(time_point now, actions& out) {
--- a/src/core/limits/share_ledger.cpp
+++ b/src/core/limits/share_ledger.cpp
@@ -96,7 +96,7 @@
 bool share_ledger::start_transfer(time_point now, const vm_id& receiver, std::uint32_t part,
                                   actions& out) {
     const bool busy = call_kind_ != call_kind::none || read_needed_ || transfer_ || now < retry_at_;
-    if (busy || !verified_ || part == 0 || part > usable_part()) {
+    if (busy || !verified() || part == 0 || part > usable_part()) {
         return false;
     }
     read_needed_ = record_.find(receiver) == nullptr; // It may have joined since the last read.
@@ -106,13 +106,22 @@
     return true;
 }
 
-void share_ledger::paused(time_point now, actions& out) {
+void share_ledger::on_lease_lapsed(time_point now, actions& out) {
+    expired_.clear();
+    if (!holder() && call_kind_ != call_kind::swap && unresolved_.empty()) {
+        return; // It has no part that another VM could reclaim.
+    }
     abandon_call();
     verified_ = false;
     confirm_needed_ = true;
     read_needed_ = true;
     transfer_.reset();
-    expired_.clear();
+    advance(now, out);
+}
+
+void share_ledger::on_lease_renewed(time_point now, actions& out) {
+    retry_at_ = std::min(retry_at_, now);
+    retry_delay_ = duration{0};
     advance(now, out);
 }
 
@@ -130,7 +139,7 @@
     if (call_kind_ != call_kind::none) {
         return no_deadline;
     }
-    if (!read_needed_ && confirm_needed_ && !context_.lease_renewed) {
+    if (!read_needed_ && confirm_needed_ && !context_.lease_held) {
         return no_deadline; // Waits for the answer to the lease renewal.
     }
     if (record_not_needed()) {
@@ -143,7 +152,7 @@
     if (holder() || target()) {
         due = std::min(due, refresh_at_);
     }
-    if (waits_to_join()) {
+    if (waits_to_join() && context_.lease_held) {
         due = std::min(due, record_.find(context_.self) != nullptr ? join_at_ : first_join_at_);
     }
     if (drained_at_ == no_deadline && holder() && untargeted_since_ != no_deadline) {
@@ -175,6 +184,18 @@
     return own_entry() != nullptr;
 }
 
+bool share_ledger::verified() const noexcept {
+    return verified_ && (!holder() || context_.lease_held);
+}
+
+bool share_ledger::lapsed() const noexcept {
+    return holder() && !context_.lease_held;
+}
+
+bool share_ledger::needs_lease() const noexcept {
+    return holder() || waits_to_join();
+}
+
 bool share_ledger::target() const noexcept {
     return contains(targets_, context_.self);
 }
@@ -200,7 +221,7 @@
         start_read(out);
         return;
     }
-    if (confirm_needed_ && !context_.lease_renewed) {
+    if (confirm_needed_ && !context_.lease_held) {
         return;
     }
     const auto next = desired(now);
@@ -291,7 +312,8 @@
         next.remove(context_.self);
         return true;
     }
-    if (now < join_at_ && (own == nullptr || own->incarnation != context_.incarnation)) {
+    const bool joined = own != nullptr && own->incarnation == context_.incarnation;
+    if (!joined && (now < join_at_ || !context_.lease_held)) {
         return false;
     }
     if (own != nullptr) {
--- a/tests/core/limiter_fleet.hpp
+++ b/tests/core/limiter_fleet.hpp
@@ -21,7 +21,13 @@
         ++calls;
         store_answer answer{request.id, store_status::ok, {}, 0, {}};
         if (request.operation == store_operation::renew_lease) {
+            const auto found = leases.find(request.key);
+            if (found == leases.end() || found->second.second <= now ||
+                found->second.first != request.value) {
+                ++lease_versions[request.key];
+            }
             leases[request.key] = {request.value, now + request.lease};
+            answer.version = lease_versions[request.key];
         } else if (request.operation == store_operation::release_lease) {
             leases.erase(request.key);
         } else if (request.key.starts_with("vms/")) {
@@ -37,6 +43,7 @@
 
     std::map<std::string, std::pair<std::string, std::uint64_t>> values;
     std::map<std::string, std::pair<std::string, time_point>> leases;
+    std::map<std::string, std::uint64_t> lease_versions; ///< How often each lease was created.
     bool down{false};
     int calls{0};
 
@@ -70,6 +77,7 @@
         std::unique_ptr<rate_limiter> limiter;
         revision known; ///< Newest configuration that it has received.
         bool suspended{false};
+        bool isolated{false}; ///< Its messages and store calls are lost; its callers reach it.
         std::vector<std::function<void()>> backlog;
         std::uint64_t generation{0}; ///< Of the scheduled tick; older ticks are ignored.
     };
@@ -173,6 +181,9 @@
             }
         }
         for (auto& each : nodes) {
+            if (each->isolated) {
+                continue; // It hears of no change.
+            }
             on(*each, [this, target = each.get(), live, gone](actions& out) {
                 target->limiter->set_fleet(now, live, gone, out);
             });
@@ -243,6 +254,9 @@
   private:
     void execute(node& from, const action& ordered) {
         if (const auto* message = std::get_if<send_to_peer>(&ordered)) {
+            if (from.isolated) {
+                return;
+            }
             for (const auto delay : choose_message_outcome(message->message).deliveries) {
                 at(delay,
                    [this, sender = from.entry.vm, sent = *message] { deliver(sender, sent); });
@@ -253,7 +267,7 @@
     }
 
     void deliver(const vm_id& sender, const send_to_peer& sent) {
-        if (auto* target = find(sent.vm)) {
+        if (auto* target = find(sent.vm); target != nullptr && !target->isolated) {
             on(*target, [this, target, sender, sent](actions& out) {
                 target->limiter->on_peer(now, sender, sent.message, out);
             });
@@ -265,7 +279,9 @@
         at(chosen.to,
            [this, chosen, request, vm = from.entry.vm, incarnation = from.incarnation.value()] {
                store_answer answer{request.id, store_status::unavailable, {}, 0, {}};
-               if (!store.down && !chosen.lost_request) {
+               const auto* caller = find(vm, incarnation);
+               const bool cut = caller != nullptr && caller->isolated;
+               if (!store.down && !chosen.lost_request && !cut) {
                    const auto real = store.call(now, request);
                    answer = chosen.lost_answer ? answer : real;
                }
--- a/tests/core/rate_limiter_property_test.cpp
+++ b/tests/core/rate_limiter_property_test.cpp
@@ -116,7 +116,7 @@
 
     void inject_fault() {
         auto* target = any_node();
-        switch (target == nullptr ? 0 : fleet_.random() % 8) {
+        switch (target == nullptr ? 0 : fleet_.random() % 9) {
         case 0:
             start_vm("new" + std::to_string(++started_), 1);
             break;
@@ -138,12 +138,31 @@
             fleet_.store.down = true;
             fleet_.at(up_to(2500), [this] { fleet_.store.down = false; });
             break;
+        case 7:
+            isolate(*target);
+            break;
         default:
             replace(*target);
             break;
         }
     }
 
+    /// A cut from the store and from the other VMs, which consider the VM gone after a while. Its
+    /// callers still reach it.
+    void isolate(node& target) {
+        target.isolated = true;
+        const auto vm = target.entry.vm;
+        const auto incarnation = target.incarnation.value();
+        delist(vm);
+        fleet_.at(from_milliseconds(500) + up_to(6000), [this, vm, incarnation] {
+            if (auto* same = fleet_.find(vm, incarnation)) {
+                same->isolated = false;
+                gone_.erase(vm);
+                fleet_.announce_fleet(gone_);
+            }
+        });
+    }
+
     void change_rate() {
         rows_.push_back({uniform(20, 200), uniform(1, 60)});
         for (auto& each : fleet_.nodes) {
@@ -184,7 +203,8 @@
 
     void delist(const vm_id& vm) {
         fleet_.at(up_to(1500), [this, vm] {
-            if (auto* same = fleet_.find(vm); same != nullptr && !same->suspended) {
+            if (auto* same = fleet_.find(vm);
+                same != nullptr && !same->suspended && !same->isolated) {
                 return; // Peers receive its messages.
             }
             gone_.insert(vm);
@@ -196,7 +216,7 @@
     void replace(node& target) {
         const auto vm = target.entry.vm;
         const auto next = target.incarnation.value() + 1;
-        if (gone_.contains(vm) || target.suspended) {
+        if (gone_.contains(vm) || target.suspended || target.isolated) {
             return;
         }
         fleet_.kill(target);
