--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -1,4 +1,5 @@
 #include "jackdawvane/configuration/key_registry.hpp"
+#include "jackdawvane/node/peer.hpp"
 
 #include <string>
 
@@ -95,6 +96,25 @@
                          "state":"ready","db_role":"primary"})"}),
     [](const auto& each) { return each.param.name; });
 
+/// Guards against an entry that one VM accepts and others can't read: it made them drop every list
+/// that the reader of the registry sent them.
+TEST(Registration, CanBePassedOnToOtherVmsIfAccepted) {
+    for (const auto* address : {"10.1.2.3:8080", "10.1.2.3:0", ":8080", "10.1.2.3:65535",
+                                "10.1.2.3:65536", "host:80", "[::1]:80", "10.1.2.3:8080:"}) {
+        const auto text =
+            std::string{R"({"service":"s","zone":"z","capacity":3,"state":"ready",)"} +
+            R"("db_role":"replica","address":")" + address + R"("})";
+        const auto entry = decode_registration("i-1", text);
+        if (!entry) {
+            continue;
+        }
+        observation_reply reply;
+        reply.directory = {entry.value()};
+        EXPECT_TRUE(decode_peer_message(observation_reply::method, to_json(reply))) << address;
+    }
+    EXPECT_TRUE(decode_registration("i-1", server));
+}
+
 TEST(Base64, RoundTrip) {
     for (const auto* text : {"", "a", "ab", "abc", "node-1"}) {
         EXPECT_EQ(decode_base64(encode_base64(text)), text);
