Send a statement once its session state is confirmed (PINNED)

Cause: backend_sessions::send wrote RESET, SET, PREPARE and the statement in one go, on the assumption that the first three do not fail. When one failed, the statement ran all the same; when it was the last one before a validated write, its answer was taken for that of a BEGIN and the connection stayed in use.

Change: BEGIN and the statement wait for the reply to the last command of the setup. A failed one closes the connection, and the attempt ends as not sent, so it is tried on another connection; an open transaction is aborted.

Why it works: nothing is sent on a connection whose session state the server has not confirmed, and a connection with an unknown state isn't used again.

--- a/include/jackdawvane/sessions/backend_sessions.hpp
+++ b/include/jackdawvane/sessions/backend_sessions.hpp
@@ -58,7 +58,8 @@
 ///
 /// A connection belongs to one organisation and is used by one caller's session at a time. Before
 /// a statement, the caller's session variables and prepared statement are set on the connection
-/// unless it has them already.
+/// unless it has them already. The statement is sent once the server has confirmed all of them:
+/// with another state it would run with another caller's values.
 class backend_sessions {
   public:
     backend_sessions(fleet_state& state, backend_session_settings settings,
@@ -75,7 +76,7 @@
                                                        proxy_output& out);
     /// @brief Sends @a main on an acquired connection.
     /// @param begin `begin` or `begin_read` to open a transaction first, or nothing; the statement
-    /// is sent only after the transaction is open
+    /// is sent only after the session state is set and the transaction is open
     ///
     /// The connection is closed when there is no answer by the statement's deadline: the entry VM
     /// may have retried the statement elsewhere, and one that is delayed by a network partition
@@ -110,7 +111,8 @@
     void leave(proxy_output& out);
 
   private:
-    enum class reply_kind { preparation, begin, main, rollback };
+    /// `setup` is the last of the preparations that a statement waits for.
+    enum class reply_kind { preparation, setup, begin, main, rollback };
     struct expected_reply {
         reply_kind kind{reply_kind::preparation};
         attempt_id attempt;
@@ -129,8 +131,10 @@
         std::map<std::string, std::string> values;
         std::map<std::string, prepared_statement> prepared;
         std::deque<expected_reply> expected_replies;
-        /// Statement that is sent after the reply to `begin` or the reset, or after the connection
-        /// has opened.
+        /// Sent after the reply to the last preparation.
+        std::optional<backend_command> pending_begin;
+        /// Statement that is sent after the reply to `begin` or to the last preparation, or after
+        /// the connection has opened.
         std::optional<backend_command> pending_main;
         attempt_id pending_attempt;
         bool main_waits_for_open{false};
@@ -150,6 +154,7 @@
     void apply_session_state(time_point now, pooled_session& session, const session_needs& needs,
                              bool force_reset, std::vector<backend_command>& commands);
     void expect_reply(time_point now, pooled_session& session, reply_kind kind, attempt_id attempt);
+    void send_pending(time_point now, connection_id id, attempt_id attempt, proxy_output& out);
     void finish_running(const pooled_session& session, const expected_reply& ended);
     [[nodiscard]] static bool overdue(time_point now, const pooled_session& session);
     void become_idle(time_point now, connection_id id, proxy_output& out);
--- a/src/core/sessions/backend_sessions.cpp
+++ b/src/core/sessions/backend_sessions.cpp
@@ -27,8 +27,8 @@
     }
 }
 
-/// Commands that set variables or prepare statements occupy no slot and do not fail, so they are
-/// sent together with the commands that follow.
+/// Adds the commands that give the connection the session state of @a needs. They occupy no slot,
+/// but each of them may fail.
 void backend_sessions::apply_session_state(time_point now, pooled_session& session,
                                            const session_needs& needs, bool force_reset,
                                            std::vector<backend_command>& commands) {
@@ -94,13 +94,14 @@
                          [&](const auto& each) { return each.second == *needs.prepared; });
         main.name = found->first;
     }
-    if (begin) {
+    if (!commands.empty()) {
+        session.expected_replies.back() = {reply_kind::setup, attempt, now};
+        session.pending_begin = std::move(begin);
+        session.pending_main = std::move(main);
+    } else if (begin) {
         commands.push_back(std::move(*begin));
         expect_reply(now, session, reply_kind::begin, attempt);
         session.pending_main = std::move(main);
-    } else if (needs_validation) {
-        session.expected_replies.back() = {reply_kind::begin, attempt, now};
-        session.pending_main = std::move(main);
     } else if (!session.open && needs.writes) {
         // If the connection were lost while opening, it would be unknown whether the write ran.
         session.pending_main = std::move(main);
@@ -113,6 +114,18 @@
     out.sessions.emplace_back(send_to_server{connection, std::move(commands)});
 }
 
+/// Sends what waited for the confirmation of the session state or of `begin`.
+void backend_sessions::send_pending(time_point now, connection_id id, attempt_id attempt,
+                                    proxy_output& out) {
+    auto& session = sessions_.at(id);
+    const auto kind = session.pending_begin ? reply_kind::begin : reply_kind::main;
+    auto& pending = session.pending_begin ? session.pending_begin : session.pending_main;
+    auto command = std::move(*pending);
+    pending.reset();
+    expect_reply(now, session, kind, attempt);
+    out.sessions.emplace_back(send_to_server{id, {std::move(command)}});
+}
+
 void backend_sessions::finish_running(const pooled_session& session, const expected_reply& ended) {
     if (ended.kind == reply_kind::main) {
         auto& load = loads_[session.backend];
@@ -174,15 +187,15 @@
         }
         results_.push_back(
             {ended.attempt, replied.connection, session.backend, replied.reply, true, true, false});
+    } else if (ended.kind == reply_kind::setup && !failed && session.pending_main) {
+        send_pending(now, replied.connection, ended.attempt, out);
     } else if (ended.kind == reply_kind::begin && session.pending_main) {
-        auto main = std::move(*session.pending_main);
-        session.pending_main.reset();
         if (failed) {
+            session.pending_main.reset();
             results_.push_back({ended.attempt, replied.connection, session.backend, replied.reply,
                                 true, false, false});
         } else {
-            expect_reply(now, session, reply_kind::main, ended.attempt);
-            out.sessions.emplace_back(send_to_server{replied.connection, {std::move(main)}});
+            send_pending(now, replied.connection, ended.attempt, out);
         }
     } else if (failed) {
         // After a failed reset, set, prepare or rollback the session state is unknown.
@@ -191,6 +204,9 @@
                 " text=" + replied.reply.detail);
         const server_disconnected lost{replied.connection, close_reason::lost,
                                        statement_error::none};
+        if (ended.kind == reply_kind::setup) {
+            session.expected_replies.push_front(ended); // Its attempt ends with the connection.
+        }
         fail_open_attempts(replied.connection, session, lost);
         discard(replied.connection, out);
         return true;
@@ -206,7 +222,8 @@
     attempt_id reported;
     for (const auto& each : session.expected_replies) {
         finish_running(session, each);
-        const bool has_attempt = each.kind == reply_kind::main || each.kind == reply_kind::begin;
+        const bool has_attempt = each.kind == reply_kind::main || each.kind == reply_kind::begin ||
+                                 each.kind == reply_kind::setup;
         if (!has_attempt || each.attempt == reported) {
             continue;
         }
@@ -229,6 +246,7 @@
         results_.push_back(std::move(result));
     }
     session.expected_replies.clear();
+    session.pending_begin.reset();
     session.pending_main.reset();
 }
 
