Let backend servers of the site stand-in answer twice

A share of the answers, those to the proxy's own commands and refusals included, is now sent a second time up to a set delay later, between or after later answers. A set share of the second answers ends early, after a line or within one; the connection then goes on with a new line or is closed. Texts on one connection are written one at a time, so that a line is never made of two answers.

The record of statements now also holds reads, writes and commits with the id of own commands, which no proxy has a reason to send, and keeps each byte of a text: jsoncpp would have replaced bytes that are not UTF-8.

Not doubled: the READY that answers STARTUP.

--- a/src/standins/jackdawvane-site/member_server.cpp
+++ b/src/standins/jackdawvane-site/member_server.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 
+#include "standins/jackdawvane-site/byte_text.hpp"
 #include <boost/asio/read_until.hpp>
 
 namespace jackdawvane::standin {
@@ -35,6 +36,12 @@
     return id != "-";
 }
 
+/// Whether a proxy has a reason to issue the statement itself.
+bool is_own_command(const std::string& verb) {
+    constexpr std::array<std::string_view, 4> callers_verbs{"READ", "WRITE", "EXECUTE", "COMMIT"};
+    return std::find(callers_verbs.begin(), callers_verbs.end(), verb) == callers_verbs.end();
+}
+
 double seconds_now() {
     return std::chrono::duration<double>(steady_clock::now().time_since_epoch()).count();
 }
@@ -45,7 +52,8 @@
                              const endpoint& listen, const member_limits& limits, recorder record)
     : io_{io}, group_{group}, index_{index}, listen_{asio::ip::make_address(listen.address),
                                                      listen.port},
-      limits_{limits}, record_{std::move(record)}, acceptor_{io}, slots_{io, limits.slots} {
+      limits_{limits}, record_{std::move(record)}, acceptor_{io}, slots_{io, limits.slots},
+      random_{static_cast<std::mt19937::result_type>(index)} {
     open();
 }
 
@@ -128,10 +136,51 @@
 
 awaitable<bool> member_server::send(session_ptr client, std::string text) {
     error_code failed;
+    co_await client->writing.acquire();
     co_await asio::async_write(client->socket, asio::buffer(text), returning(failed));
+    client->writing.release();
     co_return !failed;
 }
 
+bool member_server::happens(double share) {
+    return std::uniform_real_distribution<>{}(random_) < share;
+}
+
+/// @return beginning of @a text, which ends after a line or within one
+std::string member_server::cut_off(const std::string& text) {
+    std::uniform_int_distribution<std::size_t> any{1, text.size() - 3};
+    auto size = any(random_);
+    if (happens(0.5)) {
+        const auto line_end = text.rfind("\r\n", size);
+        size = line_end == std::string::npos ? size : line_end + 2;
+    }
+    return text.substr(0, size);
+}
+
+awaitable<void> member_server::send_again(session_ptr client, std::string text) {
+    const auto repeated = member().repeated;
+    std::uniform_int_distribution<std::int64_t> delay{
+        1, std::max<std::int64_t>(1, repeated.max_delay.count())};
+    co_await sleep_for(milliseconds{delay(random_)});
+    if (!usable(*client) || !client->socket.is_open()) {
+        co_return;
+    }
+    const bool cut = happens(repeated.cut_share);
+    const bool closes = cut && happens(0.5);
+    if (cut) {
+        text = cut_off(text);
+    }
+    // What follows on the connection starts on a new line.
+    if (!closes && !text.ends_with("\r\n")) {
+        text += "\r\n";
+    }
+    co_await send(client, std::move(text));
+    if (closes) {
+        error_code ignored;
+        client->socket.close(ignored);
+    }
+}
+
 awaitable<bool> member_server::handle_startup(session_ptr client, std::string line) {
     std::string_view rest{line};
     const auto word = take_word(rest);
@@ -195,7 +244,12 @@
     text += result.error.empty() ? "COMPLETE " + result.signature
                                  : "ERROR " + result.error + " " + member().id;
     text += std::string{"\r\nREADY "} + client->state + " " + member().position() + "\r\n";
-    co_return co_await send(client, std::move(text));
+    const bool twice = happens(member().repeated.share);
+    const bool sent = co_await send(client, text);
+    if (sent && twice) {
+        asio::co_spawn(io_, send_again(client, std::move(text)), asio::detached);
+    }
+    co_return sent;
 }
 
 /// @return error code that refuses the statement, or an empty string
@@ -253,7 +307,7 @@
     if (!result.error.empty() && client.state == 'T') {
         client.state = 'E';
     }
-    if (is_caller(request.id)) {
+    if (is_caller(request.id) || !is_own_command(request.verb)) {
         record_statement(client, request, result, state_before, transaction, shape);
     }
     return result;
@@ -408,8 +462,8 @@
     run["connection"] = Json::UInt64{client.number};
     run["organisation"] = client.organisation;
     run["from"] = client.peer;
-    run["id"] = request.id;
-    run["text"] = request.verb + (request.rest.empty() ? "" : " " + request.rest);
+    run["id"] = byte_text(request.id);
+    run["text"] = byte_text(request.verb + (request.rest.empty() ? "" : " " + request.rest));
     run["state"] = std::string{state_before};
     // BEGIN belongs to the transaction that it opens.
     run["transaction"] =
@@ -418,14 +472,14 @@
     run["position"] = member().position();
     run["error"] = result.error;
     run["signature"] = result.signature;
-    run["shape"] = shape;
+    run["shape"] = byte_text(shape);
     run["rows"] = Json::arrayValue;
     for (const auto& row : result.rows) {
-        run["rows"].append(row);
+        run["rows"].append(byte_text(row));
     }
     run["values"] = Json::objectValue;
     for (const auto& [name, value] : client.values) {
-        run["values"][name] = value;
+        run["values"][byte_text(name)] = byte_text(value);
     }
     record_(std::move(run));
 }
--- a/src/standins/jackdawvane-site/member_server.hpp
+++ b/src/standins/jackdawvane-site/member_server.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -41,6 +42,8 @@
     void open();
     /// @brief Stops answering on the open connections; new ones are answered.
     void silence();
+    /// @brief Port on which it listens; differs from the setting if that is 0.
+    [[nodiscard]] std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
   private:
     struct prepared {
@@ -49,9 +52,10 @@
     };
     struct session {
         session(asio::io_context& io, std::uint64_t session_number)
-            : socket{io}, number{session_number} {}
+            : socket{io}, writing{io, 1}, number{session_number} {}
 
         tcp::socket socket;
+        semaphore writing; ///< One text is written at a time.
         std::uint64_t number;
         std::uint64_t incarnation{0}; ///< Of the member when the connection was accepted.
         bool silent{false};
@@ -87,6 +91,9 @@
     awaitable<bool> handle_statement(session_ptr client, std::string line);
     awaitable<bool> occupy_slot(session_ptr client, milliseconds time);
     awaitable<bool> send(session_ptr client, std::string text);
+    awaitable<void> send_again(session_ptr client, std::string text);
+    [[nodiscard]] std::string cut_off(const std::string& text);
+    [[nodiscard]] bool happens(double share);
     [[nodiscard]] bool usable(const session& client) const;
 
     [[nodiscard]] static query parse(std::string_view line);
@@ -121,6 +128,7 @@
     tcp::acceptor acceptor_;
     semaphore slots_;
     std::set<session_ptr> sessions_;
+    std::mt19937 random_;
     std::uint64_t last_session_{0};
     std::uint64_t last_transaction_{0};
     std::uint64_t last_signature_{0};
--- a/src/standins/jackdawvane-site/session_group.hpp
+++ b/src/standins/jackdawvane-site/session_group.hpp
@@ -27,6 +27,13 @@
     steady_clock::time_point at;
 };
 
+/// @brief How often a backend server sends an answer a second time on the same connection.
+struct repeated_answers {
+    double share{0};             ///< Of the answers, those to statements with the id `-` included.
+    double cut_share{0};         ///< Of the second answers that are cut off before their end.
+    milliseconds max_delay{300}; ///< From the answer to its repetition; at least 1 ms.
+};
+
 /// @brief One backend server of a group.
 struct group_member {
     enum class condition { running, crashed, unresponsive };
@@ -47,6 +54,7 @@
     std::uint64_t incarnation{1}; ///< Increases with each crash and restart.
     std::optional<steady_clock::time_point> successor_seen_at;
     std::uint32_t lose_answers{0}; ///< Number of next answers to drop after the statement has run.
+    repeated_answers repeated;
     std::uint32_t busy{0};
     std::uint32_t connections{0};
 
--- a/src/standins/jackdawvane-site/site_server.cpp
+++ b/src/standins/jackdawvane-site/site_server.cpp
@@ -207,6 +207,11 @@
         member.isolated = fault.isolated.value_or(member.isolated);
         member.lag = fault.lag_ms ? milliseconds{*fault.lag_ms} : member.lag;
         member.lose_answers = fault.lose_answers.value_or(member.lose_answers);
+        auto& repeated = member.repeated;
+        repeated.share = fault.double_answers.value_or(repeated.share);
+        repeated.cut_share = fault.double_cuts.value_or(repeated.cut_share);
+        repeated.max_delay =
+            fault.double_delay_ms ? milliseconds{*fault.double_delay_ms} : repeated.max_delay;
         if (fault.silence) {
             each.server->silence();
         }
--- a/src/standins/jackdawvane-site/site_server.hpp
+++ b/src/standins/jackdawvane-site/site_server.hpp
@@ -65,7 +65,10 @@
     std::optional<bool> isolated; ///< No replication traffic with the other backend servers.
     std::optional<std::uint32_t> lag_ms;
     std::optional<std::uint32_t> lose_answers;
-    bool silence{false}; ///< Stops answering on the open connections.
+    std::optional<double> double_answers;         ///< Share of the answers that are sent twice.
+    std::optional<double> double_cuts;            ///< Share of the second answers cut off.
+    std::optional<std::uint32_t> double_delay_ms; ///< Longest delay of a second answer.
+    bool silence{false};                          ///< Stops answering on the open connections.
 
     static constexpr auto fields() {
         return std::tuple{field("member", &member_fault::member),
@@ -74,6 +77,9 @@
                           field("isolated", &member_fault::isolated),
                           field("lag_ms", &member_fault::lag_ms),
                           field("lose_answers", &member_fault::lose_answers),
+                          field("double_answers", &member_fault::double_answers),
+                          field("double_cuts", &member_fault::double_cuts),
+                          field("double_delay_ms", &member_fault::double_delay_ms),
                           field("silence", &member_fault::silence)};
     }
 };
--- a/tests/adapters/site_standin_test.cpp
+++ b/tests/adapters/site_standin_test.cpp
@@ -1,5 +1,11 @@
+#include <array>
+#include <map>
+#include <set>
+#include <sstream>
+
 #include "standin_test.hpp"
 #include "standins/jackdawvane-site/lease_store.hpp"
+#include "standins/jackdawvane-site/member_server.hpp"
 #include "standins/jackdawvane-site/session_group.hpp"
 #include <gtest/gtest.h>
 
@@ -116,5 +122,161 @@
     EXPECT_FALSE(member("m0").primary);
 }
 
+struct repeated_case {
+    const char* name;
+    const char* before; ///< Statement whose answer is sent once; empty: none.
+    const char* text;
+    const char* answer; ///< Its first word is compared.
+};
+
+class MemberServer : public testing::TestWithParam<repeated_case> {
+  protected:
+    static constexpr milliseconds silence{60};
+
+    static std::vector<group_member> members() {
+        std::vector<group_member> both(2);
+        both.front().id = "m0";
+        both.back().id = "m1";
+        return both;
+    }
+    void send(const std::string& text) { asio::write(socket_, asio::buffer(text)); }
+    void connect(const member_server& server) {
+        socket_.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+        send("STARTUP g org\r\n");
+        received();
+    }
+    /// Whether the server has left the connection open.
+    bool usable() {
+        error_code failed;
+        char byte{0};
+        socket_.non_blocking(true);
+        socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failed);
+        return failed == asio::error::would_block;
+    }
+    /// Bytes received until the server has been silent for a while or has closed.
+    std::string received() {
+        return run(io_, [](tcp::socket& socket) -> awaitable<std::string> {
+            std::string all;
+            std::array<char, 4096> part{};
+            error_code failed;
+            while (!failed) {
+                asio::steady_timer timer{co_await asio::this_coro::executor, silence};
+                timer.async_wait([&](const error_code& cancelled) {
+                    if (!cancelled) {
+                        socket.cancel();
+                    }
+                });
+                const auto size =
+                    co_await socket.async_read_some(asio::buffer(part), returning(failed));
+                all.append(part.data(), size);
+            }
+            co_return all;
+        }(socket_));
+    }
+
+    asio::io_context io_;
+    session_group group_{"g", members()};
+    member_server server_{io_,
+                          group_,
+                          0,
+                          any_port(),
+                          {3, 22, milliseconds{1}, milliseconds{1}},
+                          [this](const Json::Value& run) { runs_.append(run); }};
+    Json::Value runs_{Json::arrayValue};
+    tcp::socket socket_{io_};
+};
+
+/// Guards against a fault that spares some answers, so that a run without a finding proves little.
+TEST_P(MemberServer, AnswerIsRepeatedWhole) {
+    connect(server_);
+    if (*GetParam().before != '\0') {
+        send(std::string{GetParam().before} + "\r\n");
+        received();
+    }
+    group_.members().front().repeated = {1, 0, milliseconds{5}};
+    send(std::string{GetParam().text} + "\r\n");
+    const auto twice = received();
+    ASSERT_TRUE(twice.starts_with(GetParam().answer)) << twice;
+    EXPECT_EQ(twice.substr(0, twice.size() / 2), twice.substr(twice.size() / 2));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Site, MemberServer,
+    testing::Values(repeated_case{"begin", "", "QUERY - BEGIN", "COMPLETE"},
+                    repeated_case{"set", "", "QUERY - SET a b", "COMPLETE"},
+                    repeated_case{"prepare", "", "QUERY - PREPARE p READ s", "COMPLETE"},
+                    repeated_case{"reset", "", "QUERY - RESET", "COMPLETE"},
+                    repeated_case{"rollback", "QUERY - BEGIN", "QUERY - ROLLBACK", "COMPLETE"},
+                    repeated_case{"status", "", "QUERY - STATUS", "ROW primary"},
+                    repeated_case{"control", "", "QUERY - PAUSE 2", "ROW primary"},
+                    repeated_case{"read", "", "QUERY 1 READ i", "ROW none"},
+                    repeated_case{"write", "", "QUERY 1 WRITE i d", "COMPLETE"},
+                    repeated_case{"commit", "QUERY - BEGIN", "QUERY 1 COMMIT", "COMPLETE"},
+                    repeated_case{"error", "", "QUERY 1 EXECUTE p i", "ERROR NOSTMT"}),
+    [](const auto& tested) { return std::string{tested.param.name}; });
+
+using RepeatedAnswers = MemberServer;
+
+/// Guards against two texts that are mixed within a line, which no backend server sends.
+TEST_F(RepeatedAnswers, RepetitionsBetweenLaterAnswersKeepLinesWhole) {
+    connect(server_);
+    group_.members().front().repeated = {1, 0, milliseconds{40}};
+    constexpr std::size_t count = 30;
+    std::string texts;
+    for (std::size_t number = 0; number < count; ++number) {
+        texts += "QUERY " + std::to_string(number) + " READ i\r\n";
+    }
+    send(texts);
+    std::istringstream lines{received()};
+    std::map<std::string, std::size_t> seen;
+    bool mixed_order = false;
+    std::string newest;
+    for (std::string line; std::getline(lines, line);) {
+        ++seen[line];
+        mixed_order = mixed_order || (line.starts_with("COMPLETE") && line.size() < newest.size());
+        newest = line.starts_with("COMPLETE") ? line : newest;
+    }
+    EXPECT_EQ(seen["ROW none\r"], 2 * count);
+    EXPECT_EQ(seen["READY I 1.0\r"], 2 * count);
+    for (std::size_t number = 1; number <= count; ++number) {
+        EXPECT_EQ(seen["COMPLETE m0.1." + std::to_string(number) + "\r"], 2U) << number;
+    }
+    EXPECT_TRUE(mixed_order);
+}
+
+/// Guards against second answers that are never cut off, or not in all the ways.
+TEST_F(RepeatedAnswers, CutRepetitionIsABeginningOfTheAnswer) {
+    group_.members().front().repeated = {1, 1, milliseconds{5}};
+    std::set<std::string> kinds;
+    for (int attempt = 0; attempt < 60 && kinds.size() < 4; ++attempt) {
+        connect(server_);
+        send("QUERY 1 READ i\r\n");
+        const auto text = received();
+        const auto first = text.find("\r\n", text.find("READY")) + 2;
+        auto rest = text.substr(first);
+        const bool whole_line = rest.ends_with("\r\n");
+        const bool closed = !usable();
+        if (whole_line && text.substr(0, rest.size()) != rest) {
+            rest.resize(rest.size() - 2);
+        }
+        EXPECT_EQ(text.substr(0, rest.size()), rest);
+        EXPECT_LT(rest.size(), first);
+        kinds.insert(std::string{rest.ends_with("\r\n") ? "lines" : "part of a line"} +
+                     (closed ? ", closed" : ""));
+        socket_ = tcp::socket{io_};
+    }
+    EXPECT_EQ(kinds.size(), 4U);
+}
+
+/// Guards against bytes that the record changes, which would hide a changed statement.
+TEST_F(RepeatedAnswers, RecordKeepsBytesAndForeignStatementsWithoutId) {
+    connect(server_);
+    send("QUERY 1 WRITE i \xff\nx\r\nQUERY - READ i\r\nQUERY - STATUS\r\n");
+    received();
+    ASSERT_EQ(runs_.size(), 2U);
+    EXPECT_EQ(runs_[0]["text"].asString(), "WRITE i \xc3\xbf\nx");
+    EXPECT_EQ(runs_[1]["id"].asString(), "-");
+}
+
 } // namespace
 } // namespace jackdawvane::standin
