Let the site stand-in's store come back from a copy of itself

The users announce a drill: the store may be away for a moment and come back from a copy some seconds old. The stand-in's store only ever kept what it had acknowledged. On command it now copies itself, and later is away and goes on from the copy: items, leases with the time left, history and revisions are the copy's, revisions and lease numbers are given out again, and a watch from a revision that it has not given out gets 410. The field Store-Era stands in all its answers and rises by one each time, once the copy is in place. Backend servers register again with their next heartbeat; entries of the copy without a heartbeat expire as usual.

The soak does not use the drill yet.

--- a/src/standins/common/http_client.cpp
+++ b/src/standins/common/http_client.cpp
@@ -77,7 +77,11 @@
     if (!answer.keep_alive()) {
         stream_.reset();
     }
-    co_return http_reply{answer.result_int(), std::move(answer.body()), false};
+    http_reply reply{answer.result_int(), std::move(answer.body()), false};
+    for (const auto& each : answer) {
+        reply.fields[std::string{each.name_string()}] = std::string{each.value()};
+    }
+    co_return reply;
 }
 
 awaitable<Json::Value> http_client::post(std::string target, Json::Value json,
--- a/src/standins/common/http_server.cpp
+++ b/src/standins/common/http_server.cpp
@@ -155,6 +155,9 @@
     }
     http::response<http::string_body> response{http::int_to_status(reply.status), 11};
     response.set(http::field::content_type, "application/json");
+    for (const auto& [name, value] : reply.fields) {
+        response.set(name, value);
+    }
     response.keep_alive(message.keep_alive());
     response.body() = std::move(reply.body);
     response.prepare_payload();
--- a/src/standins/common/http_server.hpp
+++ b/src/standins/common/http_server.hpp
@@ -26,6 +26,7 @@
     unsigned status{200};
     std::string body;
     bool dropped{false}; ///< Sends no response; the connection stays open but unresponsive.
+    std::map<std::string, std::string> fields{}; ///< Further header fields.
 };
 
 /// @brief One accepted connection.
--- a/src/standins/jackdawvane-site/lease_store.cpp
+++ b/src/standins/jackdawvane-site/lease_store.cpp
@@ -86,7 +86,7 @@
 
 std::optional<std::vector<item_change>> lease_store::changes(const std::string& prefix,
                                                              std::uint64_t revision) const {
-    if (revision < compacted_revision_) {
+    if (revision < compacted_revision_ || revision > revision_) {
         return {};
     }
     std::vector<item_change> found;
@@ -102,4 +102,17 @@
     compacted_revision_ = revision_;
 }
 
+lease_store lease_store::copied(time now) const {
+    auto copy = *this;
+    copy.copied_at_ = now;
+    return copy;
+}
+
+void lease_store::restore(const lease_store& copy, time now) {
+    *this = copy;
+    for (auto& [number, each] : leases_) {
+        each.expires_at += now - copy.copied_at_;
+    }
+}
+
 } // namespace jackdawvane::standin
--- a/src/standins/jackdawvane-site/lease_store.hpp
+++ b/src/standins/jackdawvane-site/lease_store.hpp
@@ -63,11 +63,17 @@
     void expire(time now);
 
     /// @brief Changes of keys with @a prefix after @a revision; nothing if the history was
-    /// compacted.
+    /// compacted or the revision has not been given out.
     [[nodiscard]] std::optional<std::vector<item_change>> changes(const std::string& prefix,
                                                                   std::uint64_t revision) const;
     void compact_history();
 
+    /// @brief Items, leases, history and revisions as they are at @a now.
+    [[nodiscard]] lease_store copied(time now) const;
+    /// @brief Continues from what @ref copied returned: revisions are given out again, and each
+    /// lease has the time left that it had then.
+    void restore(const lease_store& copy, time now);
+
   private:
     struct lease {
         milliseconds ttl{0};
@@ -80,6 +86,7 @@
     std::uint64_t revision_{1};
     std::uint64_t compacted_revision_{1}; ///< Newest revision that is no longer in the history.
     std::uint64_t last_lease_{0};
+    time copied_at_{};
 };
 
 } // namespace jackdawvane::standin
--- a/src/standins/jackdawvane-site/site_server.cpp
+++ b/src/standins/jackdawvane-site/site_server.cpp
@@ -121,6 +121,14 @@
     each.registered = true;
 }
 
+/// Entries of a restored store are removed unless a heartbeat renews them in time.
+void site_server::expect_registrations(steady_clock::time_point now) {
+    for (auto& each : members_) {
+        each.registered = true;
+        each.expires_at = now + max_missed_heartbeats * milliseconds{settings_.heartbeat_ms};
+    }
+}
+
 awaitable<http_reply> site_server::promote(const http_request& request) {
     const auto body = parse_json(request.body);
     if (!body) {
@@ -178,6 +186,10 @@
     }
     if (decoded.value().store) {
         store_.apply(*decoded.value().store);
+        if (decoded.value().store->restored_ms) {
+            expect_registrations(steady_clock::now() +
+                                 milliseconds{*decoded.value().store->restored_ms});
+        }
     }
     if (decoded.value().member) {
         apply(*decoded.value().member);
--- a/src/standins/jackdawvane-site/site_server.hpp
+++ b/src/standins/jackdawvane-site/site_server.hpp
@@ -122,6 +122,7 @@
     awaitable<void> replicate();
     awaitable<void> register_members();
     void register_member(served_member& each, steady_clock::time_point now);
+    void expect_registrations(steady_clock::time_point now);
     [[nodiscard]] group_member& state_of(const served_member& each) const;
     [[nodiscard]] http_reply inspect() const;
 
--- a/src/standins/jackdawvane-site/store_api.cpp
+++ b/src/standins/jackdawvane-site/store_api.cpp
@@ -126,8 +126,19 @@
     return std::find(refused_.begin(), refused_.end(), remote) != refused_.end();
 }
 
+std::uint64_t store_api::era() const {
+    return steady_clock::now() < restored_at_ ? era_ - 1 : era_;
+}
+
 awaitable<http_reply> store_api::handle(http_server::connection_ptr connection,
                                         const http_request& request) {
+    auto reply = co_await answer(std::move(connection), request);
+    reply.fields["Store-Era"] = std::to_string(era());
+    co_return reply;
+}
+
+awaitable<http_reply> store_api::answer(http_server::connection_ptr connection,
+                                        const http_request& request) {
     constexpr std::array<std::pair<std::string_view, handler>, 7> handlers{
         {{"/kv-key", &store_api::key},
          {"/kv-range", &store_api::range},
@@ -283,10 +294,26 @@
     changed_.notify();
 }
 
+void store_api::restore(milliseconds outage) {
+    down_until_ = steady_clock::now() + outage;
+    silent_ = false;
+    // Nothing reads or changes items while the store is down.
+    store_.restore(copy_, down_until_);
+    restored_at_ = down_until_;
+    ++era_;
+}
+
 void store_api::apply(const store_fault& fault) {
     if (fault.down_ms) {
         down_until_ = steady_clock::now() + milliseconds{*fault.down_ms};
         silent_ = fault.silent;
+        restored_at_ = std::min(restored_at_, down_until_);
+    }
+    if (fault.copy) {
+        copy_ = store_.copied(steady_clock::now());
+    }
+    if (fault.restored_ms) {
+        restore(milliseconds{*fault.restored_ms});
     }
     delay_ = fault.delay_ms ? milliseconds{*fault.delay_ms} : delay_;
     lose_answers_ = fault.lose_answers.value_or(lose_answers_);
@@ -303,6 +330,10 @@
         json["calls"][path] = Json::UInt64{count};
     }
     json["revision"] = Json::UInt64{store_.revision()};
+    json["era"] = Json::UInt64{era()};
+    for (const auto& [name, item] : store_.items()) {
+        json["items"][name] = item.value;
+    }
     return json;
 }
 
--- a/src/standins/jackdawvane-site/store_api.hpp
+++ b/src/standins/jackdawvane-site/store_api.hpp
@@ -21,13 +21,16 @@
     std::optional<std::uint32_t> lose_answers;       ///< Next transactions whose answer is lost.
     std::optional<std::vector<std::string>> refused; ///< Addresses for which it is down.
     bool compact_history{false};
+    bool copy{false};                         ///< Takes the copy that a restore returns to.
+    std::optional<std::uint32_t> restored_ms; ///< Outage, after which it continues from the copy.
 
     static constexpr auto fields() {
         using self = store_fault;
         return std::tuple{
             field("down_ms", &self::down_ms),   field("silent", &self::silent),
             field("delay_ms", &self::delay_ms), field("lose_answers", &self::lose_answers),
-            field("refused", &self::refused),   field("forget_history", &self::compact_history)};
+            field("refused", &self::refused),   field("forget_history", &self::compact_history),
+            field("copy", &self::copy),         field("restored_ms", &self::restored_ms)};
     }
 };
 
@@ -36,7 +39,7 @@
   public:
     explicit store_api(asio::io_context& io);
 
-    /// @brief Answers a call of a VM.
+    /// @brief Answers a call of a VM; the field `Store-Era` counts the restores from a copy.
     awaitable<http_reply> handle(http_server::connection_ptr connection,
                                  const http_request& request);
 
@@ -46,13 +49,15 @@
     void withdraw(const std::string& key);
     void apply(const store_fault& fault);
     [[nodiscard]] bool down() const { return steady_clock::now() < down_until_; }
-    /// @brief Number of calls by path, and the revision of the store.
+    /// @brief Number of calls by path, the store's revision and era, and the values of its items.
     [[nodiscard]] Json::Value inspect() const;
 
   private:
     using query = std::map<std::string, std::string>;
     using handler = awaitable<http_reply> (store_api::*)(const query&, const Json::Value&);
 
+    awaitable<http_reply> answer(http_server::connection_ptr connection,
+                                 const http_request& request);
     awaitable<http_reply> key(const query& fields, const Json::Value& body);
     awaitable<http_reply> range(const query& fields, const Json::Value& body);
     awaitable<http_reply> watch(const query& fields, const Json::Value& body);
@@ -62,11 +67,16 @@
     awaitable<http_reply> revoke(const query& fields, const Json::Value& body);
 
     awaitable<void> expire_leases();
+    void restore(milliseconds outage);
+    [[nodiscard]] std::uint64_t era() const;
     [[nodiscard]] http_reply outage() const;
     [[nodiscard]] bool is_refused(const http_connection& connection) const;
 
     asio::io_context& io_;
     lease_store store_;
+    lease_store copy_;
+    std::uint64_t era_{1};
+    steady_clock::time_point restored_at_{}; ///< The previous era lasts until then.
     notifier changed_;
     steady_clock::time_point down_until_{};
     bool silent_{false};
--- a/tests/adapters/site_standin_test.cpp
+++ b/tests/adapters/site_standin_test.cpp
@@ -7,6 +7,7 @@
 #include "standins/jackdawvane-site/lease_store.hpp"
 #include "standins/jackdawvane-site/member_server.hpp"
 #include "standins/jackdawvane-site/session_group.hpp"
+#include "standins/jackdawvane-site/store_api.hpp"
 #include <gtest/gtest.h>
 
 namespace jackdawvane::standin {
@@ -67,6 +68,102 @@
     EXPECT_FALSE(store.changes("a", seen));
 }
 
+/// Guards against a restore that keeps something younger than the copy.
+TEST(LeaseStore, RestoreReturnsToTheCopy) {
+    lease_store store;
+    const lease_store::time start{};
+    const auto lease = store.grant(milliseconds{1000}, start);
+    store.put("kept", "old");
+    store.put("leased", "x", lease);
+    const auto copy = store.copied(start + milliseconds{400});
+    const auto revision = store.revision();
+    store.put("kept", "new");
+    store.put("younger", "y", store.grant(milliseconds{1000}, start));
+    store.revoke(lease);
+    const auto lost = store.revision();
+
+    store.restore(copy, start + milliseconds{5000});
+    EXPECT_EQ(store.find("kept")->value, "old");
+    EXPECT_EQ(store.find("younger"), nullptr);
+    EXPECT_EQ(store.revision(), revision);
+    EXPECT_FALSE(store.changes("", lost));
+    ASSERT_TRUE(store.changes("", revision - 1));
+    EXPECT_EQ(store.changes("", revision - 1)->size(), 1U);
+    store.expire(start + milliseconds{5599});
+    EXPECT_NE(store.find("leased"), nullptr);
+    EXPECT_EQ(store.grant(milliseconds{1000}, start), lease + 1);
+    store.put("other", "z");
+    EXPECT_EQ(store.find("other")->revision, revision + 1);
+    store.expire(start + milliseconds{5600});
+    EXPECT_EQ(store.find("leased"), nullptr);
+}
+
+struct store_call {
+    const char* name;
+    const char* method;
+    const char* target;
+    const char* body;
+    unsigned status;
+};
+
+class StoreEra : public testing::TestWithParam<store_call> {
+  protected:
+    /// Status and era of the answer to the call.
+    std::pair<unsigned, std::string> answer() {
+        auto reply = run(io_, client_.request(GetParam().method, GetParam().target, GetParam().body,
+                                              answer_timeout));
+        return reply ? std::pair{reply->status, reply->fields["Store-Era"]}
+                     : std::pair{0U, std::string{}};
+    }
+
+    asio::io_context io_;
+    store_api store_{io_};
+    http_server server_{
+        io_, any_port(),
+        [this](http_server::connection_ptr connection, const http_request& request) {
+            return store_.handle(std::move(connection), request);
+        }};
+    http_client client_{io_, server_.local(), ""};
+};
+
+using answered = std::pair<unsigned, std::string>;
+
+/// Guards against an answer without the era, or with the new one before the copy is in place.
+TEST_P(StoreEra, StandsInEachAnswerAndRisesWithEachRestore) {
+    store_.publish("a", Json::objectValue);
+    EXPECT_EQ(answer(), (answered{GetParam().status, "1"}));
+    store_fault fault;
+    fault.copy = true;
+    store_.apply(fault);
+    fault = {};
+    fault.restored_ms = 30;
+    store_.apply(fault);
+    EXPECT_EQ(answer().second, "1");
+    run(io_, []() -> awaitable<bool> {
+        co_await sleep_for(milliseconds{40});
+        co_return true;
+    }());
+    EXPECT_EQ(answer(), (answered{GetParam().status, "2"}));
+    fault.restored_ms = 0;
+    store_.apply(fault);
+    EXPECT_EQ(answer(), (answered{GetParam().status, "3"}));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Site, StoreEra,
+    testing::Values(store_call{"item", "GET", "/kv-key?key=a", "", 200},
+                    store_call{"no_item", "GET", "/kv-key?key=b", "", 404},
+                    store_call{"range", "GET", "/kv-range?prefix=", "", 200},
+                    store_call{"change", "POST", "/kv-txn", "{}", 200},
+                    store_call{"conflict", "POST", "/kv-txn",
+                               R"({"expected": [{"key": "a", "revision": 0}]})", 412},
+                    store_call{"lost_history", "GET", "/kv-watch?prefix=&after=99&wait_ms=1", "",
+                               410},
+                    store_call{"lease", "POST", "/kv-lease", R"({"ttl_ms": 1000})", 200},
+                    store_call{"no_lease", "POST", "/kv-keep/99", "{}", 404},
+                    store_call{"no_path", "GET", "/other", "", 404}),
+    [](const auto& tested) { return std::string{tested.param.name}; });
+
 class SessionGroup : public testing::Test {
   protected:
     static std::vector<group_member> three_members() {
