--- a/src/standins/jackdawvane-site/site_server.cpp
+++ b/src/standins/jackdawvane-site/site_server.cpp
@@ -121,6 +121,14 @@
     each.registered = true;
 }
 
+/// Entries of a restored store are removed unless a heartbeat renews them in time.
+void site_server::expect_registrations(steady_clock::time_point now) {
+    for (auto& each : members_) {
+        each.registered = true;
+        each.expires_at = now + max_missed_heartbeats * milliseconds{settings_.heartbeat_ms};
+    }
+}
+
 awaitable<http_reply> site_server::promote(const http_request& request) {
     const auto body = parse_json(request.body);
     if (!body) {
@@ -178,6 +186,10 @@
     }
     if (decoded.value().store) {
         store_.apply(*decoded.value().store);
+        if (decoded.value().store->restored_ms) {
+            expect_registrations(steady_clock::now() +
+                                 milliseconds{*decoded.value().store->restored_ms});
+        }
     }
     if (decoded.value().member) {
         apply(*decoded.value().member);
@@ -207,6 +219,11 @@
         member.isolated = fault.isolated.value_or(member.isolated);
         member.lag = fault.lag_ms ? milliseconds{*fault.lag_ms} : member.lag;
         member.lose_answers = fault.lose_answers.value_or(member.lose_answers);
+        auto& repeated = member.repeated;
+        repeated.share = fault.double_answers.value_or(repeated.share);
+        repeated.cut_share = fault.double_cuts.value_or(repeated.cut_share);
+        repeated.max_delay =
+            fault.double_delay_ms ? milliseconds{*fault.double_delay_ms} : repeated.max_delay;
         if (fault.silence) {
             each.server->silence();
         }
