Compose versions of the store's era and revision

Cause: the adapter passed the store's revisions on as versions, and all that compares versions relies on them rising. Nothing read Store-Era.

Change: a version is era (13 bits) and revision (40 bits), made and taken apart by make_version and split_version, below 2^53; without the header it is the revision as before.

Why it works: revisions rise within an era and eras rise, so fencing tokens, list versions and the versions in messages between VMs rise for VMs too that know the store through peers only.

Not covered: a write without an answer may still be executed in the new era if its revision is given out again for the same key. An era above 8191 counts as absent, so its answers count as unavailable.

--- a/include/jackdawvane/adapters/http_message.hpp
+++ b/include/jackdawvane/adapters/http_message.hpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -52,6 +53,20 @@
 struct http_answer {
     unsigned status{0};
     std::string body;
+    std::vector<http_header> headers{};
+
+    /// @brief Value of the header field @a name in any case, empty when it is absent.
+    [[nodiscard]] std::string_view header(std::string_view name) const noexcept {
+        const auto lower = [](char each) {
+            return each >= 'A' && each <= 'Z' ? static_cast<char>(each - 'A' + 'a') : each;
+        };
+        const auto same = [&](const http_header& each) {
+            return std::equal(each.name.begin(), each.name.end(), name.begin(), name.end(),
+                              [&](char a, char b) { return lower(a) == lower(b); });
+        };
+        const auto found = std::find_if(headers.begin(), headers.end(), same);
+        return found == headers.end() ? std::string_view{} : std::string_view{found->value};
+    }
 };
 
 } // namespace jackdawvane
--- a/include/jackdawvane/node/store.hpp
+++ b/include/jackdawvane/node/store.hpp
@@ -17,6 +17,29 @@
 
 namespace jackdawvane {
 
+/// @brief Position in the store's history. A store that comes back from a copy begins a new era,
+/// and its revisions may go back.
+struct store_position {
+    std::uint64_t era{0}; ///< Restores of the store from a copy; 0 if the store doesn't count them.
+    std::uint64_t revision{0}; ///< Changes within the era.
+};
+
+/// @brief Bits of a version that hold the revision; the bits above them hold the era.
+inline constexpr unsigned version_revision_bits = 40;
+/// @brief Highest era that a version holds, so that a version is below 2^53.
+inline constexpr std::uint64_t highest_store_era = (std::uint64_t{1} << 13U) - 1;
+
+/// @brief Version of @a position, which only rises, also across eras; 0 for revision 0.
+[[nodiscard]] constexpr std::uint64_t make_version(const store_position& position) noexcept {
+    return position.revision == 0 ? 0 : (position.era << version_revision_bits) + position.revision;
+}
+
+/// @brief Inverse of `make_version`.
+[[nodiscard]] constexpr store_position split_version(std::uint64_t version) noexcept {
+    return {version >> version_revision_bits,
+            version & ((std::uint64_t{1} << version_revision_bits) - 1)};
+}
+
 /// @brief Operations of the platform's store service.
 enum class store_operation {
     read,             ///< Value and version of a key.
@@ -143,12 +166,15 @@
     std::uint64_t version{0};                     ///< Current version of the key or list.
     std::vector<vm_entry> vms;                    ///< `list_vms`: the complete list.
     std::vector<backend_registration> backends{}; ///< `list_backends`: the complete list.
+    /// Newest era of the store that any answer has shown; also set without an answer.
+    std::uint64_t era{0};
 
     static constexpr auto fields() {
         return std::tuple{
             field("id", &store_answer::id),       field("status", &store_answer::status),
             field("value", &store_answer::value), field("version", &store_answer::version),
-            field("vms", &store_answer::vms),     field("backends", &store_answer::backends)};
+            field("vms", &store_answer::vms),     field("backends", &store_answer::backends),
+            field("era", &store_answer::era)};
     }
 };
 
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -239,7 +239,11 @@
     reset_parser();
     auto done = std::exchange(answer_callback_, nullptr);
     const auto self = shared_from_this();
-    done(http_answer{message.result_int(), std::move(message.body())});
+    http_answer answer{message.result_int(), std::move(message.body())};
+    for (const auto& each : message) {
+        answer.headers.push_back({std::string{each.name_string()}, std::string{each.value()}});
+    }
+    done(std::move(answer));
     if (!keep_alive && connected_ && !answer_callback_) {
         fail(lost(host_ + " closed the connection"));
     }
