Give up the coordinator's lease in a new era of the store

What callers would see: two coordinators at once. The copy may lack the holder's lease, or hold the one of an earlier holder, so a VM acquires it while the former holder still acts by its own clock.

Change: the lease notes the era in each answer of the store. In a higher era than it knows, it is not held, and this VM doesn't acquire it before one whole lease duration has passed. An acquire request whose answer is the first of the new era isn't trusted either. One line is logged with both eras, the fence, whether it was held, and the wait.

Why it works: a former holder that has not noticed, also one that hears of the new era through peers only, renewed for the last time before the restore, and holds for 7/8 of a lease duration after that by its own clock. Every other VM learns of the era after the restore and waits for a whole duration. The token is higher by the era in its version. A VM that starts in an era above 0 waits too, as it may start just after a restore: when a whole fleet starts in such an era, there is no coordinator for the first 4 s.

--- a/include/jackdawvane/sessions/coordinator_lease.hpp
+++ b/include/jackdawvane/sessions/coordinator_lease.hpp
@@ -40,6 +40,8 @@
     /// @param rank rank of this VM among all, from 0; every VM tries to acquire the lease, as VMs
     /// of lower rank may be unable to reach the store
     void tick(time_point now, std::size_t rank, actions& out);
+    /// @brief Notes the store's era in each answer, also to requests of others. After a new era the
+    /// lease is not held, and is not acquired for one lease duration.
     /// @return whether @a answer is for a request of this lease
     bool on_store(time_point now, const store_answer& answer, actions& out);
     /// @brief Drops the lease after a pause of this VM, as its expiry time is not reliable.
@@ -54,6 +56,7 @@
 
   private:
     void send_request(time_point now, store_operation operation, actions& out);
+    void note_era(time_point now, const store_answer& answer, actions& out);
     /// Time between two acquire attempts of a VM of @a rank; grows with the rank to limit store
     /// load.
     [[nodiscard]] duration acquire_delay(std::size_t rank) const;
@@ -68,6 +71,9 @@
     time_point held_until_{time_point::min()};
     time_point next_renewal_{}; ///< Next renewal, as holder.
     time_point last_attempt_{}; ///< Last attempt to acquire the lease.
+    std::uint64_t era_{0};      ///< Newest era of the store.
+    /// In a new era, the former holder may act until then without having noticed it.
+    time_point acquire_not_before_{time_point::min()};
     bool request_pending_{false};
     request_id request_id_;
     store_operation operation_{store_operation::acquire_lease};
--- a/src/core/sessions/coordinator_lease.cpp
+++ b/src/core/sessions/coordinator_lease.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <algorithm>
+
 namespace jackdawvane {
 
 namespace {
@@ -54,13 +56,28 @@
     if (holder_ && now >= next_renewal_) {
         next_renewal_ = now + settings_.renewal_interval;
         send_request(now, store_operation::keep_lease, out);
-    } else if (!holder_ && now >= last_attempt_ + acquire_delay(rank)) {
+    } else if (!holder_ &&
+               now >= std::max(acquire_not_before_, last_attempt_ + acquire_delay(rank))) {
         last_attempt_ = now;
         send_request(now, store_operation::acquire_lease, out);
     }
 }
 
+void coordinator_lease::note_era(time_point now, const store_answer& answer, actions& out) {
+    if (answer.era <= era_) {
+        return;
+    }
+    const auto known = std::exchange(era_, answer.era);
+    acquire_not_before_ = now + settings_.lease_duration;
+    log(out, log_component, log_level::warning,
+        "new era from_era=" + std::to_string(known) + " to_era=" + std::to_string(answer.era) +
+            " held=" + (holder_ ? "1" : "0") + " fence=" + std::to_string(fence_) +
+            " wait_ms=" + std::to_string(to_milliseconds(settings_.lease_duration)));
+    holder_ = false;
+}
+
 bool coordinator_lease::on_store(time_point now, const store_answer& answer, actions& out) {
+    note_era(now, answer, out);
     if (!request_pending_ || answer.id != request_id_) {
         return false;
     }
@@ -69,7 +86,7 @@
     if (answer.status == store_status::ok) {
         held_until_ = request_sent_ + settings_.lease_duration -
                       settings_.lease_duration / settings_.clock_margin_divisor;
-        if (acquiring && !leaving_) {
+        if (acquiring && !leaving_ && now >= acquire_not_before_) {
             holder_ = true;
             fence_ = answer.version;
             next_renewal_ = now + settings_.renewal_interval;
--- a/tests/core/failover_coordinator_test.cpp
+++ b/tests/core/failover_coordinator_test.cpp
@@ -351,5 +351,76 @@
     EXPECT_FALSE(lease.held(at(1311)));
 }
 
+store_answer answer_in_era(std::uint64_t era) {
+    store_answer answer;
+    answer.status = store_status::not_found;
+    answer.era = era;
+    return answer;
+}
+
+/// Lease of VM a, whose acquire request was sent at 0 ms and answered after 1 ms.
+class RestoredLease : public ::testing::Test {
+  protected:
+    RestoredLease() {
+        lease.on_store(at(0), answer_in_era(0), out);
+        lease.tick(at(0), 0, out);
+        request = std::get<store_request>(out.back());
+    }
+    bool acquire(std::uint64_t era) {
+        store_answer answer{request.id, store_status::ok, {}, make_version({era, 7}), {}};
+        answer.era = era;
+        return lease.on_store(at(1), answer, out);
+    }
+    /// Time in ms of the next acquire attempt from @a first on.
+    int next_attempt(int first) {
+        for (int ms = first; ms < 60'000; ms += 50) {
+            actions sent;
+            lease.tick(at(ms), 0, sent);
+            for (const auto& each : sent) {
+                if (std::holds_alternative<store_request>(each)) {
+                    return ms;
+                }
+            }
+        }
+        return 60'000;
+    }
+
+    id_sequence<request_id> ids;
+    coordinator_lease lease{vm_id{"a"}, {}, ids};
+    actions out;
+    store_request request;
+};
+
+/// Guards against two coordinators after a restore, of which the copy knows only one.
+TEST_F(RestoredLease, HolderThatLearnsOfANewEraHoldsNoMore) {
+    ASSERT_TRUE(acquire(0));
+    ASSERT_TRUE(lease.held(at(500)));
+    EXPECT_FALSE(lease.on_store(at(500), answer_in_era(1), out));
+    EXPECT_FALSE(lease.held(at(500)));
+}
+
+TEST_F(RestoredLease, NobodyAcquiresItWhileTheFormerHolderMayStillHoldIt) {
+    lease.on_store(at(500), answer_in_era(1), out);
+    EXPECT_GE(next_attempt(500), 4'500);
+}
+
+TEST_F(RestoredLease, LeaseAcquiredByTheAnswerThatShowsTheNewEraIsNotHeld) {
+    acquire(1);
+    EXPECT_FALSE(lease.held(at(2)));
+    EXPECT_GE(next_attempt(1), 4'001);
+}
+
+/// Guards against a VM that starts just after a restore, while the former holder has not noticed.
+TEST(CoordinatorLease, VmThatStartsInALaterEraWaitsToo) {
+    id_sequence<request_id> ids;
+    coordinator_lease lease{vm_id{"a"}, {}, ids};
+    actions out;
+    lease.on_store(at(0), answer_in_era(3), out);
+    lease.tick(at(3'950), 0, out);
+    EXPECT_TRUE(std::none_of(out.begin(), out.end(), [](const auto& each) {
+        return std::holds_alternative<store_request>(each);
+    }));
+}
+
 } // namespace
 } // namespace jackdawvane
