Keep registered servers for a grace time after a restore of the store

What callers would see: servers dropped for a moment, and with them their groups' evidence, when the copy lacks registrations made since.

Cause: only a gap of 2.5 s between two reads counted as an outage of the registry; a restore can be shorter than that.

Change: a list whose version is of a newer era than the last one counts as read after an outage. VMs that have the list from a peer see the era in its version, so they keep the servers too.

Not covered: servers that have gone since the copy are listed again until their lease ends.

--- a/include/jackdawvane/sessions/backend_directory.hpp
+++ b/include/jackdawvane/sessions/backend_directory.hpp
@@ -10,7 +10,7 @@
 
 namespace jackdawvane {
 
-/// @brief Durations for handling an outage of the registry.
+/// @brief Durations for handling an outage of the registry; a restore from a copy counts as one.
 struct directory_settings {
     /// Missing servers are kept this long after an outage of the registry; a registration that
     /// expired during the outage is back within 2 s of its end.
--- a/src/core/sessions/backend_directory.cpp
+++ b/src/core/sessions/backend_directory.cpp
@@ -11,7 +11,9 @@
     if (known_ && version < read_version_) {
         return false;
     }
-    if (known_ && read_at - read_at_ > settings_.outage_threshold) {
+    // A store that came back from a copy may lack registrations that are written again.
+    const bool restored = split_version(version).era > split_version(read_version_).era;
+    if (known_ && (restored || read_at - read_at_ > settings_.outage_threshold)) {
         grace_until_ = now + settings_.reregistration_grace;
     }
     bool changed = !std::exchange(known_, true);
--- a/tests/core/backend_directory_test.cpp
+++ b/tests/core/backend_directory_test.cpp
@@ -26,6 +26,17 @@
     EXPECT_EQ(directory.find(backend_server_id{"r1"}), nullptr);
 }
 
+/// Guards against servers that are dropped because the store came back from an older copy; VMs that
+/// have the list from a peer see the new era in its version.
+TEST(BackendDirectory, ServerThatIsMissingInANewEraOfTheStoreIsKeptForAWhile) {
+    backend_directory directory;
+    directory.update(at(0), at(0), make_version({1, 900}), {registration("p"), registration("r1")});
+    directory.update(at(500), at(500), make_version({2, 300}), {registration("p")});
+    EXPECT_NE(directory.find(backend_server_id{"r1"}), nullptr);
+    directory.update(at(2800), at(2800), make_version({2, 310}), {registration("p")});
+    EXPECT_EQ(directory.find(backend_server_id{"r1"}), nullptr);
+}
+
 TEST(BackendDirectory, OlderReadingChangesNothing) {
     backend_directory directory;
     directory.update(at(0), at(0), 5, {registration("p")});
