Write a VM's entry again at once in a new era of the store

What callers would see: VMs that came since the copy are missing from the list until their next renewal, up to 2 s later.

Change: the registration notes the era in each answer of the store, and renews at once in a new one; the adapter has forgotten the lease by then, so this writes the entry anew. A request in flight is left to end: a second one at its side could leave the entry with a lease that nobody renews.

By reading: a VM that answers probes stays live without being listed (is_up rests on health and incarnation), so no grace was added there.

--- a/include/jackdawvane/sessions/vm_registration.hpp
+++ b/include/jackdawvane/sessions/vm_registration.hpp
@@ -22,6 +22,8 @@
     vm_registration(vm_entry self, registration_settings settings, id_sequence<request_id>& ids);
 
     void tick(time_point now, actions& out);
+    /// @brief Notes the store's era in each answer, also to requests of others, and writes the
+    /// entry again in a new era.
     /// @return whether @a answer is for a request of this registration
     bool on_store(time_point now, const store_answer& answer);
     /// @brief Removes the entry from the VM list.
@@ -34,6 +36,8 @@
     registration_settings settings_;
     id_sequence<request_id>& ids_;
     request_id request_id_;
+    std::uint64_t era_{0}; ///< Newest era of the store.
+    bool written_{false};
     bool request_pending_{false};
     bool leaving_{false};
     time_point request_sent_{};
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -337,12 +337,12 @@
     if (input.status != store_status::unavailable) {
         members_.on_store_answered(now);
     }
-    // The lease comes first, as it notes the era in every answer.
-    if (!coordinator_lease_.on_store(now, input, out.common) &&
+    // The lease and the registration come first, as they note the era in every answer.
+    const bool registered = registration_.on_store(now, input);
+    if (!coordinator_lease_.on_store(now, input, out.common) && !registered &&
         !members_.on_store(now, input, out.common) &&
         !configuration_.on_store(now, input, out.common) &&
-        !limiter_.on_store(now, input, out.common) && !registration_.on_store(now, input) &&
-        !observer_.on_store(now, input, out)) {
+        !limiter_.on_store(now, input, out.common) && !observer_.on_store(now, input, out)) {
         log(out.common, "store", log_level::debug, "answer to a store request that was abandoned");
     }
 }
--- a/src/core/sessions/vm_registration.cpp
+++ b/src/core/sessions/vm_registration.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <algorithm>
+
 namespace jackdawvane {
 
 namespace {
@@ -43,10 +45,15 @@
 }
 
 bool vm_registration::on_store(time_point now, const store_answer& answer) {
+    const bool newer = answer.era > era_;
+    era_ = std::max(era_, answer.era);
     if (!request_pending_ || answer.id != request_id_) {
+        // An initial request in flight needs no other one.
+        next_renewal_ = newer && written_ ? now : next_renewal_;
         return false;
     }
     request_pending_ = false;
+    written_ = written_ || answer.status == store_status::ok;
     if (answer.status != store_status::ok) {
         next_renewal_ = now + settings_.retry_delay;
     }
