Pass on an answer only when it is proved to be the statement's own

Cause: backend_sessions::on_reply matched answers to commands by order alone. An extra answer after the next command was sent was taken for that command's, and each later answer was one behind.

Change: reply_matcher, one per connection, judges each answer as own, extra or unproved. Answers to callers' statements are proved by a signature that the connection has not had; own commands by `-`, the transaction state and a position that does not go back; an error by being unlike every earlier one. An extra answer is dropped and the connection is replaced when it is released; an unproved one ends the connection, the statement ends as unknown, and a single read or one that was not sent yet is retried. A BEGIN is confirmed only in state T at a position at which no earlier answer looked the same. Prepared names are not used again after a reset. Each foreign answer leaves one line `foreign_reply` and counts in member_foreign_replies_total.

The tests' server now answers as the contract says, with a new signature for each statement and `-` for own commands; it used to sign everything "s". The expectation of LeavesTheReadToItsOtherAttempt compares with the signature that was sent instead of "s", which is as strict.

Not proved: a SET that fails while its confirmation is a second answer to another SET of the same burst; and the rows of a read in front of which a cut-off answer left rows that the connection has not had as a first row.

--- a/include/jackdawvane/sessions/backend_sessions.hpp
+++ b/include/jackdawvane/sessions/backend_sessions.hpp
@@ -3,6 +3,7 @@
 #include "jackdawvane/foundation/id_sequence.hpp"
 #include "jackdawvane/sessions/fleet_state.hpp"
 #include "jackdawvane/sessions/ports.hpp"
+#include "jackdawvane/sessions/reply_matcher.hpp"
 
 #include <deque>
 #include <map>
@@ -115,6 +116,7 @@
     enum class reply_kind { preparation, setup, begin, main, rollback };
     struct expected_reply {
         reply_kind kind{reply_kind::preparation};
+        reply_form form{reply_form::session_value};
         attempt_id attempt;
         time_point sent{};
     };
@@ -125,11 +127,17 @@
         bool open{false};
         bool in_use{false};
         bool release_when_drained{false};
+        bool replace_when_released{false}; ///< Closed instead of becoming idle.
+        bool writes{false};                ///< Whether the current statement writes.
         time_point opened_at{};
         time_point last_received{};
         time_point deadline{no_deadline}; ///< Of the current statement.
         std::map<std::string, std::string> values;
         std::map<std::string, prepared_statement> prepared;
+        /// Names are not used again after a reset: if a prepare failed unnoticed, its name would
+        /// run an earlier statement.
+        std::uint64_t last_prepared_name{0};
+        reply_matcher matcher;
         std::deque<expected_reply> expected_replies;
         /// Sent after the reply to the last preparation.
         std::optional<backend_command> pending_begin;
@@ -153,7 +161,13 @@
 
     void apply_session_state(time_point now, pooled_session& session, const session_needs& needs,
                              bool force_reset, std::vector<backend_command>& commands);
-    void expect_reply(time_point now, pooled_session& session, reply_kind kind, attempt_id attempt);
+    void expect_reply(time_point now, pooled_session& session, reply_kind kind, reply_form form,
+                      attempt_id attempt);
+    void expect_main(time_point now, pooled_session& session, attempt_id attempt);
+    /// Handles an answer that is not proved to belong to the oldest pending command.
+    void on_foreign_reply(time_point now, const server_replied& replied, reply_verdict verdict,
+                          proxy_output& out);
+    void apply_reply(time_point now, const server_replied& replied, proxy_output& out);
     void send_pending(time_point now, connection_id id, attempt_id attempt, proxy_output& out);
     void finish_running(const pooled_session& session, const expected_reply& ended);
     [[nodiscard]] static bool overdue(time_point now, const pooled_session& session);
--- a/src/core/sessions/backend_sessions.cpp
+++ b/src/core/sessions/backend_sessions.cpp
@@ -1,5 +1,7 @@
 #include "jackdawvane/sessions/backend_sessions.hpp"
 
+#include "jackdawvane/foundation/age_text.hpp"
+
 #include <utility>
 
 #include <algorithm>
@@ -20,13 +22,18 @@
     : state_{state}, settings_{settings}, ids_{ids} {}
 
 void backend_sessions::expect_reply(time_point now, pooled_session& session, reply_kind kind,
-                                    attempt_id attempt) {
-    session.expected_replies.push_back({kind, attempt, now});
+                                    reply_form form, attempt_id attempt) {
+    session.expected_replies.push_back({kind, form, attempt, now});
     if (kind == reply_kind::main) {
         ++loads_[session.backend].running;
     }
 }
 
+void backend_sessions::expect_main(time_point now, pooled_session& session, attempt_id attempt) {
+    expect_reply(now, session, reply_kind::main,
+                 session.writes ? reply_form::write : reply_form::statement, attempt);
+}
+
 /// Adds the commands that give the connection the session state of @a needs. They occupy no slot,
 /// but each of them may fail.
 void backend_sessions::apply_session_state(time_point now, pooled_session& session,
@@ -41,7 +48,7 @@
         backend_command reset;
         reset.kind = command_kind::reset;
         commands.push_back(std::move(reset));
-        expect_reply(now, session, reply_kind::preparation, {});
+        expect_reply(now, session, reply_kind::preparation, reply_form::return_to_idle, {});
         session.values.clear();
         session.prepared.clear();
     }
@@ -56,7 +63,7 @@
         set.name = name;
         set.value = value;
         commands.push_back(std::move(set));
-        expect_reply(now, session, reply_kind::preparation, {});
+        expect_reply(now, session, reply_kind::preparation, reply_form::session_value, {});
     }
     if (needs.prepared == nullptr) {
         return;
@@ -65,7 +72,7 @@
         std::any_of(session.prepared.begin(), session.prepared.end(),
                     [&](const auto& each) { return each.second == *needs.prepared; });
     if (!already_prepared) {
-        const auto name = "p" + std::to_string(session.prepared.size() + 1);
+        const auto name = "p" + std::to_string(++session.last_prepared_name);
         session.prepared[name] = *needs.prepared;
         backend_command prepare;
         prepare.kind = command_kind::prepare;
@@ -73,7 +80,7 @@
         prepare.access = needs.prepared->access;
         prepare.shape = needs.prepared->shape;
         commands.push_back(std::move(prepare));
-        expect_reply(now, session, reply_kind::preparation, {});
+        expect_reply(now, session, reply_kind::preparation, reply_form::session_value, {});
     }
 }
 
@@ -82,6 +89,7 @@
                             backend_command main, proxy_output& out) {
     auto& session = sessions_.at(connection);
     session.deadline = needs.deadline;
+    session.writes = needs.writes;
     std::vector<backend_command> commands;
     // A write on a connection that was lost unnoticed would have an unknown outcome, so the server
     // has to answer a reset first.
@@ -95,12 +103,13 @@
         main.name = found->first;
     }
     if (!commands.empty()) {
-        session.expected_replies.back() = {reply_kind::setup, attempt, now};
+        session.expected_replies.back().kind = reply_kind::setup;
+        session.expected_replies.back().attempt = attempt;
         session.pending_begin = std::move(begin);
         session.pending_main = std::move(main);
     } else if (begin) {
         commands.push_back(std::move(*begin));
-        expect_reply(now, session, reply_kind::begin, attempt);
+        expect_reply(now, session, reply_kind::begin, reply_form::begin, attempt);
         session.pending_main = std::move(main);
     } else if (!session.open && needs.writes) {
         // If the connection were lost while opening, it would be unknown whether the write ran.
@@ -109,7 +118,7 @@
         session.main_waits_for_open = true;
     } else {
         commands.push_back(std::move(main));
-        expect_reply(now, session, reply_kind::main, attempt);
+        expect_main(now, session, attempt);
     }
     out.sessions.emplace_back(send_to_server{connection, std::move(commands)});
 }
@@ -118,11 +127,14 @@
 void backend_sessions::send_pending(time_point now, connection_id id, attempt_id attempt,
                                     proxy_output& out) {
     auto& session = sessions_.at(id);
-    const auto kind = session.pending_begin ? reply_kind::begin : reply_kind::main;
+    if (session.pending_begin) {
+        expect_reply(now, session, reply_kind::begin, reply_form::begin, attempt);
+    } else {
+        expect_main(now, session, attempt);
+    }
     auto& pending = session.pending_begin ? session.pending_begin : session.pending_main;
     auto command = std::move(*pending);
     pending.reset();
-    expect_reply(now, session, kind, attempt);
     out.sessions.emplace_back(send_to_server{id, {std::move(command)}});
 }
 
@@ -150,7 +162,7 @@
     }
     session.last_received = now;
     if (std::exchange(session.main_waits_for_open, false) && session.pending_main) {
-        expect_reply(now, session, reply_kind::main, session.pending_attempt);
+        expect_main(now, session, session.pending_attempt);
         out.sessions.emplace_back(
             send_to_server{ready.connection, {std::move(*session.pending_main)}});
         session.pending_main.reset();
@@ -164,18 +176,51 @@
         return false;
     }
     auto& session = found->second;
-    if (session.expected_replies.empty()) {
-        log(out.common, log_component, log_level::error,
-            "reply without a pending command backend=" + session.backend.str());
-        discard(replied.connection, out);
-        return true;
-    }
     if (session.pending_main && overdue(now, session)) {
         out.sessions.emplace_back(close_server_connection{replied.connection});
         on_closed(now, {replied.connection, close_reason::timeout, statement_error::none}, out);
         return true;
     }
     session.last_received = now;
+    const bool pending = !session.expected_replies.empty();
+    const auto verdict = session.matcher.match(
+        pending ? std::optional{session.expected_replies.front().form} : std::nullopt,
+        replied.reply);
+    if (verdict == reply_verdict::own) {
+        apply_reply(now, replied, out);
+    } else {
+        on_foreign_reply(now, replied, verdict, out);
+    }
+    return true;
+}
+
+void backend_sessions::on_foreign_reply(time_point now, const server_replied& replied,
+                                        reply_verdict verdict, proxy_output& out) {
+    auto& session = sessions_.at(replied.connection);
+    const bool pending = !session.expected_replies.empty();
+    const bool dropped = verdict == reply_verdict::extra && session.in_use;
+    log(out.common, log_component, log_level::warning,
+        std::string{"foreign_reply verdict="} + to_string(verdict) + " backend=" +
+            session.backend.str() + " connection=" + std::to_string(replied.connection.value()) +
+            " pending=" + (pending ? to_string(session.expected_replies.front().form) : "none") +
+            " age_ms=" + (pending ? age_text(now, session.expected_replies.front().sent) : "-") +
+            " problem=" + to_string(replied.reply.problem) +
+            " signed=" + (replied.reply.signature.size() > 1 ? "1" : "0") +
+            " rows=" + std::to_string(replied.reply.rows.size()) +
+            " outcome=" + (dropped ? "dropped" : "closed"));
+    count(out.common, "member_foreign_replies_total", "verdict", to_string(verdict));
+    if (dropped) {
+        session.replace_when_released = true;
+        return;
+    }
+    // The statement may have run, so its attempt ends without an answer.
+    out.sessions.emplace_back(close_server_connection{replied.connection});
+    on_closed(now, {replied.connection, close_reason::lost, statement_error::none}, out);
+}
+
+void backend_sessions::apply_reply(time_point now, const server_replied& replied,
+                                   proxy_output& out) {
+    auto& session = sessions_.at(replied.connection);
     const auto ended = session.expected_replies.front();
     session.expected_replies.pop_front();
     finish_running(session, ended);
@@ -209,12 +254,11 @@
         }
         fail_open_attempts(replied.connection, session, lost);
         discard(replied.connection, out);
-        return true;
+        return;
     }
     if (session.expected_replies.empty() && session.release_when_drained && !session.pending_main) {
         become_idle(now, replied.connection, out);
     }
-    return true;
 }
 
 void backend_sessions::fail_open_attempts(connection_id id, pooled_session& session,
@@ -288,10 +332,14 @@
         discard(connection, out);
         return;
     }
+    if (in_transaction && session.replace_when_released) {
+        discard(connection, out); // Closing it rolls back.
+        return;
+    }
     if (in_transaction) {
         backend_command rollback;
         rollback.kind = command_kind::rollback;
-        expect_reply(now, session, reply_kind::rollback, {});
+        expect_reply(now, session, reply_kind::rollback, reply_form::return_to_idle, {});
         out.sessions.emplace_back(send_to_server{connection, {std::move(rollback)}});
     }
     if (session.expected_replies.empty()) {
@@ -306,7 +354,8 @@
     session.in_use = false;
     session.release_when_drained = false;
     const auto* entry = state_.directory.find(session.backend);
-    if (entry == nullptr || entry->registration.leaving) {
+    if (entry == nullptr || entry->registration.leaving || session.replace_when_released ||
+        session.matcher.exhausted()) {
         discard(id, out);
     } else {
         trim_idle(entry->registration, out);
--- a/tests/core/backend_sessions_test.cpp
+++ b/tests/core/backend_sessions_test.cpp
@@ -103,7 +103,11 @@
             const auto connection = statements_.front();
             statements_.pop_front();
             if (connections_.contains(connection)) {
-                backends.on_reply(at(now), {connection, {}, {}}, out);
+                backends.on_reply(at(now),
+                                  {connection,
+                                   testing::success(transaction_state::idle, testing::point(1, 1)),
+                                   {}},
+                                  out);
             }
         }
         apply_actions(now, out);
--- a/tests/core/connection_owner_test.cpp
+++ b/tests/core/connection_owner_test.cpp
@@ -67,9 +67,8 @@
     EXPECT_EQ(fixture.commands().size(), 2U);
     fixture.backends.tick(at(990), fixture.out);
     EXPECT_TRUE(fixture.take<close_server_connection>().empty());
-    fixture.backends.on_reply(at(1001),
-                              {connections[0], success(transaction_state::open, point(1, 10)), {}},
-                              fixture.out);
+    fixture.backends.on_reply(
+        at(1001), {connections[0], done(transaction_state::open, point(1, 10)), {}}, fixture.out);
     fixture.backends.tick(at(1200), fixture.out);
     EXPECT_TRUE(fixture.commands().empty()) << "the transaction's statement was sent";
     EXPECT_EQ(fixture.take<close_server_connection>().size(), 2U);
--- a/tests/core/session_fixture.hpp
+++ b/tests/core/session_fixture.hpp
@@ -238,14 +238,31 @@
     return made;
 }
 
-inline statement_reply success(transaction_state state, log_point position) {
+/// @brief Answer to one of the proxy's own commands.
+inline statement_reply done(transaction_state state, log_point position) {
     statement_reply reply;
-    reply.signature = "s";
+    reply.signature = "-";
     reply.state = state;
     reply.position = position;
     return reply;
 }
 
+/// @brief Answer to a caller's statement; as at a real server, each has a signature of its own.
+inline statement_reply success(transaction_state state, log_point position) {
+    static int signatures = 0;
+    auto reply = done(state, position);
+    reply.signature = "s" + std::to_string(++signatures);
+    return reply;
+}
+
+/// @brief Successful answer to @a command.
+inline statement_reply answer_to(const backend_command& command, transaction_state state,
+                                 log_point position) {
+    const bool of_caller =
+        command.kind == command_kind::caller_text || command.kind == command_kind::execute;
+    return of_caller ? success(state, position) : done(state, position);
+}
+
 inline statement_reply failure(statement_error problem, transaction_state state) {
     statement_reply reply;
     reply.problem = problem;
--- a/tests/core/session_setup_test.cpp
+++ b/tests/core/session_setup_test.cpp
@@ -19,7 +19,7 @@
     return set;
 }
 
-const statement_reply set_done = success(transaction_state::idle, point(1, 10));
+const statement_reply set_done = done(transaction_state::idle, point(1, 10));
 const statement_reply set_failed = failure(statement_error::failed, transaction_state::idle);
 
 /// A session that has set a variable; its connections don't have it yet.
@@ -87,7 +87,7 @@
     fixture.reply(32, connection, set_done);
     if (GetParam().in_transaction) {
         EXPECT_EQ(sent_kinds(), kinds{command_kind::begin});
-        fixture.reply(33, connection, success(transaction_state::open, point(1, 10)));
+        fixture.reply(33, connection, done(transaction_state::open, point(1, 10)));
     }
     EXPECT_EQ(sent_kinds(), kinds{command_kind::caller_text});
 }
@@ -127,7 +127,7 @@
     ASSERT_EQ(sent_kinds(), kinds{command_kind::set});
     fixture.reply(4, connection, set_done);
     ASSERT_EQ(sent_kinds(), kinds{command_kind::begin});
-    fixture.reply(5, connection, success(transaction_state::open, point(1, 10)));
+    fixture.reply(5, connection, done(transaction_state::open, point(1, 10)));
     ASSERT_EQ(sent_kinds(), kinds{command_kind::caller_text});
     fixture.reply(6, connection, success(transaction_state::open, point(1, 10)));
     fixture.send_statement(7, set_to("2"));
--- a/tests/core/statement_executor_test.cpp
+++ b/tests/core/statement_executor_test.cpp
@@ -29,7 +29,7 @@
         EXPECT_EQ(begin.size(), 1U);
         EXPECT_EQ(begin.front().second.kind, command_kind::begin);
         const auto connection = begin.front().first;
-        fixture.reply(4, connection, success(transaction_state::open, point(1, 10)));
+        fixture.reply(4, connection, done(transaction_state::open, point(1, 10)));
         EXPECT_EQ(fixture.commands().size(), 1U);
         fixture.reply(5, connection, success(transaction_state::open, point(1, 10)));
         fixture.answers();
@@ -175,10 +175,11 @@
     const auto sent = fixture.commands();
     ASSERT_EQ(sent.size(), 1U);
     EXPECT_EQ(sent.front().second.value, next.text);
-    fixture.reply(390, sent.front().first, success(transaction_state::idle, point(1, 11)));
+    const auto own = success(transaction_state::idle, point(1, 11));
+    fixture.reply(390, sent.front().first, own);
     const auto second = fixture.answers();
     ASSERT_EQ(second.size(), 1U);
-    EXPECT_EQ(second.front().signature, "s");
+    EXPECT_EQ(second.front().signature, own.signature);
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/tests/core/statement_shutdown_test.cpp
+++ b/tests/core/statement_shutdown_test.cpp
@@ -38,7 +38,7 @@
     void reply_to_all(int milliseconds, transaction_state state) {
         fixture.confirm_primary(milliseconds);
         for (const auto& [connection, command] : fixture.commands()) {
-            fixture.reply(milliseconds, connection, success(state, point(1, 10)));
+            fixture.reply(milliseconds, connection, answer_to(command, state, point(1, 10)));
         }
     }
     /// Opens a transaction with a write that is answered.
@@ -174,7 +174,8 @@
     send_accepted(fixture, 2901, write_one());
     for (int i = 0; i < 2; ++i) {
         for (const auto& [connection, command] : fixture.commands()) {
-            fixture.reply(2902 + i, connection, success(transaction_state::open, point(1, 10)));
+            fixture.reply(2902 + i, connection,
+                          answer_to(command, transaction_state::open, point(1, 10)));
         }
     }
     send_accepted(fixture, 2910, next);
