End a connection whose stream contains a part of another answer

Cause: server_port collected lines until READY without checking their order. The lines of an answer that was cut off without its end stayed and became the beginning of the next one; a line that was cut off was read together with the line after it.

Change: a row, completion or error after a completion or error, an end without either, a line that contains a second message, and a position that cannot be read end the connection. So do lines or a part of a line that are already there when a command is sent and none is unanswered; the command is not sent.

Evidence: all 16 cases of CutAnswer.EndsTheConnection fail with the old src/adapters and platform folders and pass with the new ones.

Cost: a row whose data contains `ROW `, `COMPLETE `, `ERROR ` or `READY ` in capital letters cannot be told from two messages and is not passed on.

--- a/src/adapters/line_stream.cpp
+++ b/src/adapters/line_stream.cpp
@@ -130,6 +130,7 @@
     }
     if (!closed_) {
         input_.erase(0, begin);
+        has_partial_line_ = !input_.empty();
     }
 }
 
--- a/src/adapters/line_stream.hpp
+++ b/src/adapters/line_stream.hpp
@@ -31,6 +31,8 @@
     void start();
     void on_line(line_callback callback) { on_line_ = std::move(callback); }
     void on_end(end_callback callback) { on_end_ = std::move(callback); }
+    /// @brief Whether the beginning of a line has been received, but not its end.
+    [[nodiscard]] bool has_partial_line() const noexcept { return has_partial_line_; }
     void write(std::string_view text);
     /// @brief Closes immediately with a TCP reset, which discards undelivered data.
     void close();
@@ -52,6 +54,7 @@
     std::string input_;
     std::string output_;
     std::string writing_;
+    bool has_partial_line_{false};
     bool open_{false};
     bool flush_posted_{false};
     bool write_pending_{false};
--- a/src/adapters/server_port.cpp
+++ b/src/adapters/server_port.cpp
@@ -2,9 +2,11 @@
 
 #include <utility>
 
+#include <algorithm>
 #include <unordered_map>
 
 #include "line_stream.hpp"
+#include <boost/asio/post.hpp>
 
 namespace jackdawvane {
 
@@ -25,12 +27,17 @@
     struct server_state {
         std::shared_ptr<detail::line_stream> stream;
         bool started{false};
+        bool completed{false}; ///< The current answer only lacks its end.
+        bool row_seen{false};
+        std::size_t unanswered{0}; ///< Commands, as far as they can be counted by answers.
         std::optional<answer_error> start_problem;
         statement_reply reply; ///< Lines of the current answer.
         std::optional<server_status> status;
     };
 
     void handle_line(connection_id id, std::string_view line);
+    [[nodiscard]] static bool in_order(const server_state& server, const backend_line& message);
+    void end_connection(connection_id id, server_state& server);
     void handle_ready(connection_id id, server_state& server, const answer_ready& ready);
     void on_stream_end(connection_id id, detail::stream_end reason);
 
@@ -67,11 +74,44 @@
     if (found == servers_.end()) {
         return;
     }
+    auto& server = found->second;
+    const bool answer_begun =
+        server.row_seen || server.completed || server.stream->has_partial_line();
+    if (server.started && server.unanswered == 0 && answer_begun) {
+        // The rest of an extra answer that was cut off would precede the answer to this command.
+        boost::asio::post(context_, [weak = weak_from_this(), id = commands.connection] {
+            const auto self = weak.lock();
+            if (self && self->servers_.contains(id)) {
+                self->end_connection(id, self->servers_.at(id));
+            }
+        });
+        return;
+    }
+    server.unanswered += commands.commands.size();
     std::string text;
     for (const auto& command : commands.commands) {
         codec_.write_command(command, text);
     }
-    found->second.stream->write(text);
+    server.stream->write(text);
+}
+
+/// Whether @a message may follow the lines of the current answer: after an answer that was cut off,
+/// the next one begins without the end of the first.
+bool server_port::implementation::in_order(const server_state& server,
+                                           const backend_line& message) {
+    if (std::holds_alternative<malformed_line>(message)) {
+        return false;
+    }
+    if (!server.started) {
+        return std::holds_alternative<answer_ready>(message) ||
+               std::holds_alternative<answer_error>(message);
+    }
+    return std::holds_alternative<answer_ready>(message) == server.completed;
+}
+
+void server_port::implementation::end_connection(connection_id id, server_state& server) {
+    server.stream->close();
+    on_stream_end(id, detail::stream_end::lost);
 }
 
 void server_port::implementation::handle_line(connection_id id, std::string_view line) {
@@ -81,27 +121,28 @@
     }
     auto& server = found->second;
     auto message = codec_.read_backend(line);
-    if (auto* row = std::get_if<answer_row>(&message)) {
+    if (!in_order(server, message)) {
+        end_connection(id, server);
+    } else if (auto* row = std::get_if<answer_row>(&message)) {
         if (!server.status) {
             server.status = codec_.read_status(row->text);
         }
+        server.row_seen = true;
         server.reply.rows.push_back(std::move(row->text));
     } else if (auto* completed = std::get_if<answer_completed>(&message)) {
+        server.completed = true;
         server.reply.signature = std::move(completed->signature);
     } else if (auto* problem = std::get_if<answer_error>(&message)) {
         if (!server.started) {
             server.start_problem = std::move(*problem);
-            server.stream->close();
-            on_stream_end(id, detail::stream_end::lost);
+            end_connection(id, server);
             return;
         }
+        server.completed = true;
         server.reply.problem = problem->problem;
         server.reply.detail = std::move(problem->detail);
     } else if (const auto* ready = std::get_if<answer_ready>(&message)) {
         handle_ready(id, server, *ready);
-    } else {
-        server.stream->close();
-        on_stream_end(id, detail::stream_end::lost);
     }
 }
 
@@ -112,6 +153,8 @@
         sink_(server_connected{id, ready.position});
         return;
     }
+    server.completed = server.row_seen = false;
+    server.unanswered -= std::min<std::size_t>(server.unanswered, 1);
     auto reply = std::exchange(server.reply, {});
     reply.state = ready.state;
     reply.position = ready.position;
--- a/tests/platform/session_ports_test.cpp
+++ b/tests/platform/session_ports_test.cpp
@@ -65,6 +65,60 @@
     EXPECT_EQ(last<server_replied>()->reply.rows, (std::vector<std::string>{"a", "b"}));
 }
 
+struct cut_answer_case {
+    const char* name;
+    const char* before; ///< Received before the command is sent.
+    const char* after;  ///< Received after it.
+};
+
+class CutAnswer : public SessionPorts, public ::testing::WithParamInterface<cut_answer_case> {};
+
+/// Guards against lines of an answer that was cut off which are passed on with the next answer.
+TEST_P(CutAnswer, EndsTheConnection) {
+    server_port server_connections{context, {}, codec, sink()};
+    open_server_connection start;
+    start.connection = connection_id{1};
+    start.endpoint = {"127.0.0.1", acceptor.local_endpoint().port()};
+    server_connections.open(start);
+    auto server = acceptor.accept();
+    const auto receive = [&](const std::string& text) {
+        if (!text.empty()) {
+            asio::write(server, asio::buffer(text));
+        }
+        context.restart();
+        context.run_for(milliseconds{50});
+    };
+    receive("READY I 3.1\r\n");
+    ASSERT_NE(last<server_connected>(), nullptr);
+    receive(GetParam().before);
+    server_connections.send({connection_id{1}, {backend_command{}}});
+    receive(GetParam().after);
+    EXPECT_NE(last<server_disconnected>(), nullptr);
+    EXPECT_EQ(events.size(), 2U);
+    EXPECT_EQ(server_connections.connections(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    SessionPorts, CutAnswer,
+    ::testing::Values(
+        cut_answer_case{"row_before_the_command", "ROW x\r\n", ""},
+        cut_answer_case{"part_of_a_line_before_the_command", "COMPL", ""},
+        cut_answer_case{"completion_before_the_command", "COMPLETE s\r\n", ""},
+        cut_answer_case{"completion_before_a_row", "", "COMPLETE s\r\nROW y\r\n"},
+        cut_answer_case{"completion_before_a_completion", "", "COMPLETE s\r\nCOMPLETE t\r\n"},
+        cut_answer_case{"completion_before_an_error", "", "COMPLETE s\r\nERROR BUSY x\r\n"},
+        cut_answer_case{"error_before_a_row", "", "ERROR BUSY x\r\nROW y\r\n"},
+        cut_answer_case{"error_before_a_completion", "", "ERROR BUSY x\r\nCOMPLETE t\r\n"},
+        cut_answer_case{"error_before_an_error", "", "ERROR BUSY x\r\nERROR FAILED y\r\n"},
+        cut_answer_case{"end_without_a_beginning", "", "READY I 3.2\r\n"},
+        cut_answer_case{"in_a_row_before_a_row", "", "ROW xROW y\r\nCOMPLETE t\r\nREADY I 3.2\r\n"},
+        cut_answer_case{"in_a_row_before_a_completion", "", "ROW xCOMPLETE t\r\nREADY I 3.2\r\n"},
+        cut_answer_case{"in_a_completion", "", "COMPLETE sCOMPLETE t\r\nREADY I 3.2\r\n"},
+        cut_answer_case{"in_an_error", "", "ERROR BUSY xCOMPLETE t\r\nREADY I 3.2\r\n"},
+        cut_answer_case{"in_an_end", "", "COMPLETE s\r\nREADY I 3.1ROW y\r\n"},
+        cut_answer_case{"in_a_position", "", "COMPLETE s\r\nREADY I 3.\r\n"}),
+    [](const auto& tested) { return std::string{tested.param.name}; });
+
 // A write whose connection the proxy has closed must not be executed when a network partition heals
 // later.
 TEST_F(SessionPorts, ClosedServerConnectionIsReset) {
