Refuse reads at a server whose log has just been found behind

What callers would have seen: with answers that have to be proved, a second LAGGING that is like the first ends its connection, and the reads that a lagging server refuses open one connection after the other, each of which occupies a slot.

Cause: the owner asks a lagging server again for each read, within milliseconds of its last refusal.

Change: for 20 ms after a refusal the owner itself refuses statements that need a later position than the server had then; their entry tries another server. What can't be served is refused at once.

Evidence: ConnectionOwner.RefusesReadsAtAServerThatHasJustLagged (new code, so it has no former state).

--- a/include/jackdawvane/sessions/backend_sessions.hpp
+++ b/include/jackdawvane/sessions/backend_sessions.hpp
@@ -42,6 +42,9 @@
     /// were open at the refusal. A server still counts the connections of a VM that has lost power
     /// for some seconds.
     duration accepted_limit_ttl{std::chrono::seconds{1}};
+    /// For this long after a server has refused a statement because its log is behind, statements
+    /// that need a later position than it had are refused without asking it again.
+    duration lagging_backoff{std::chrono::milliseconds{20}};
     /// Time for which a server is not used after a failed connection attempt.
     duration failure_backoff{std::chrono::milliseconds{250}};
 };
@@ -68,6 +71,9 @@
 
     /// @brief Whether a statement can be started on @a backend now.
     [[nodiscard]] bool has_capacity(time_point now, const backend_server_id& backend) const;
+    /// @brief Whether the log of @a backend has recently been found to be before @a required.
+    [[nodiscard]] bool lags(time_point now, const backend_server_id& backend,
+                            const log_point& required) const;
     /// @brief Takes an idle connection of the organisation or opens a new one.
     /// @return nothing when the backend server is not registered, or when the connection limit is
     /// reached and no idle connection of another organisation can be closed
@@ -157,6 +163,8 @@
         time_point accepted_limit_until{time_point::min()};
         time_point busy_until{time_point::min()};
         time_point failed_until{time_point::min()};
+        log_point lagging_position; ///< End of the log when it was last found behind.
+        time_point lagging_until{time_point::min()};
     };
 
     void apply_session_state(time_point now, pooled_session& session, const session_needs& needs,
--- a/src/core/sessions/backend_session_acquire.cpp
+++ b/src/core/sessions/backend_session_acquire.cpp
@@ -65,6 +65,13 @@
     return found != loads_.end() && now < found->second.failed_until;
 }
 
+bool backend_sessions::lags(time_point now, const backend_server_id& backend,
+                            const log_point& required) const {
+    const auto found = loads_.find(backend);
+    return found != loads_.end() && now < found->second.lagging_until &&
+           found->second.lagging_position < required;
+}
+
 bool backend_sessions::has_capacity(time_point now, const backend_server_id& backend) const {
     const auto* entry = state_.directory.find(backend);
     if (entry == nullptr) {
--- a/src/core/sessions/backend_sessions.cpp
+++ b/src/core/sessions/backend_sessions.cpp
@@ -182,6 +182,11 @@
         return true;
     }
     session.last_received = now;
+    if (replied.reply.problem == statement_error::lagging && replied.reply.position) {
+        auto& load = loads_[session.backend];
+        load.lagging_position = *replied.reply.position;
+        load.lagging_until = now + settings_.lagging_backoff;
+    }
     const bool pending = !session.expected_replies.empty();
     const auto verdict = session.matcher.match(
         pending ? std::optional{session.expected_replies.front().form} : std::nullopt,
--- a/src/core/sessions/connection_owner.cpp
+++ b/src/core/sessions/connection_owner.cpp
@@ -56,6 +56,11 @@
         return;
     }
     const auto& backend = statement.backend;
+    const auto& after = statement.begin ? statement.begin->after : statement.main.after;
+    if (after && backends_.lags(now, backend, *after)) {
+        report_not_run({entry, std::move(statement), entry_deadline}, statement_error::lagging);
+        return;
+    }
     auto& queue = queues_.try_emplace(backend, settings_.queue_limit).first->second;
     std::uint32_t weight = 1;
     if (state_.configuration) {
--- a/tests/core/connection_owner_test.cpp
+++ b/tests/core/connection_owner_test.cpp
@@ -48,6 +48,44 @@
     EXPECT_FALSE(fixture.take<open_server_connection>().empty());
 }
 
+// Guards against reads that ask a lagging server again and again, each time on a new connection.
+TEST(ConnectionOwner, RefusesReadsAtAServerThatHasJustLagged) {
+    session_fixture fixture;
+    forwarded_statement statement;
+    statement.lease = connection_id{1000};
+    statement.backend = backend_server_id{"r1"};
+    statement.organisation = organisation_id{"o"};
+    statement.remaining = std::chrono::seconds{1};
+    statement.main.after = point(1, 9);
+    fixture.owner.submit(at(1), vm_id{"b"}, statement, fixture.out);
+    fixture.accept(2);
+    const auto sent = fixture.commands();
+    ASSERT_EQ(sent.size(), 1U);
+    statement_reply lagging;
+    lagging.problem = statement_error::lagging;
+    lagging.position = point(1, 5);
+    fixture.reply(3, sent.front().first, lagging);
+    fixture.owner.settle(at(3), fixture.out);
+    static_cast<void>(fixture.owner.take_results());
+
+    statement.lease = connection_id{1001};
+    fixture.owner.submit(at(10), vm_id{"b"}, statement, fixture.out);
+    const auto refused = fixture.owner.take_results();
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused.front().result.reply.problem, statement_error::lagging);
+    EXPECT_FALSE(refused.front().result.sent);
+
+    statement.lease = connection_id{1002};
+    statement.main.after = point(1, 5);
+    fixture.owner.submit(at(11), vm_id{"b"}, statement, fixture.out);
+    EXPECT_TRUE(fixture.owner.take_results().empty());
+
+    statement.lease = connection_id{1003};
+    statement.main.after = point(1, 9);
+    fixture.owner.submit(at(40), vm_id{"b"}, statement, fixture.out);
+    EXPECT_TRUE(fixture.owner.take_results().empty());
+}
+
 // Guards against a statement that is delayed by a network partition and runs when the partition
 // ends, seconds after its entry VM has retried it elsewhere.
 TEST(ConnectionOwner, EndsConnectionsWhoseStatementIsGivenUp) {
