--- a/include/jackdawvane/sessions/backend_sessions.hpp
+++ b/include/jackdawvane/sessions/backend_sessions.hpp
@@ -3,6 +3,7 @@
 #include "jackdawvane/foundation/id_sequence.hpp"
 #include "jackdawvane/sessions/fleet_state.hpp"
 #include "jackdawvane/sessions/ports.hpp"
+#include "jackdawvane/sessions/reply_matcher.hpp"
 
 #include <deque>
 #include <map>
@@ -41,6 +42,9 @@
     /// were open at the refusal. A server still counts the connections of a VM that has lost power
     /// for some seconds.
     duration accepted_limit_ttl{std::chrono::seconds{1}};
+    /// For this long after a server has refused a statement because its log is behind, statements
+    /// that need a later position than it had are refused without asking it again.
+    duration lagging_backoff{std::chrono::milliseconds{20}};
     /// Time for which a server is not used after a failed connection attempt.
     duration failure_backoff{std::chrono::milliseconds{250}};
 };
@@ -67,6 +71,9 @@
 
     /// @brief Whether a statement can be started on @a backend now.
     [[nodiscard]] bool has_capacity(time_point now, const backend_server_id& backend) const;
+    /// @brief Whether the log of @a backend has recently been found to be before @a required.
+    [[nodiscard]] bool lags(time_point now, const backend_server_id& backend,
+                            const log_point& required) const;
     /// @brief Takes an idle connection of the organisation or opens a new one.
     /// @return nothing when the backend server is not registered, or when the connection limit is
     /// reached and no idle connection of another organisation can be closed
@@ -115,6 +122,7 @@
     enum class reply_kind { preparation, setup, begin, main, rollback };
     struct expected_reply {
         reply_kind kind{reply_kind::preparation};
+        reply_form form{reply_form::session_value};
         attempt_id attempt;
         time_point sent{};
     };
@@ -125,11 +133,17 @@
         bool open{false};
         bool in_use{false};
         bool release_when_drained{false};
+        bool replace_when_released{false}; ///< Closed instead of becoming idle.
+        bool writes{false};                ///< Whether the current statement writes.
         time_point opened_at{};
         time_point last_received{};
         time_point deadline{no_deadline}; ///< Of the current statement.
         std::map<std::string, std::string> values;
         std::map<std::string, prepared_statement> prepared;
+        /// Names are not used again after a reset: if a prepare failed unnoticed, its name would
+        /// run an earlier statement.
+        std::uint64_t last_prepared_name{0};
+        reply_matcher matcher;
         std::deque<expected_reply> expected_replies;
         /// Sent after the reply to the last preparation.
         std::optional<backend_command> pending_begin;
@@ -149,11 +163,19 @@
         time_point accepted_limit_until{time_point::min()};
         time_point busy_until{time_point::min()};
         time_point failed_until{time_point::min()};
+        log_point lagging_position; ///< End of the log when it was last found behind.
+        time_point lagging_until{time_point::min()};
     };
 
     void apply_session_state(time_point now, pooled_session& session, const session_needs& needs,
                              bool force_reset, std::vector<backend_command>& commands);
-    void expect_reply(time_point now, pooled_session& session, reply_kind kind, attempt_id attempt);
+    void expect_reply(time_point now, pooled_session& session, reply_kind kind, reply_form form,
+                      attempt_id attempt);
+    void expect_main(time_point now, pooled_session& session, attempt_id attempt);
+    /// Handles an answer that is not proved to belong to the oldest pending command.
+    void on_foreign_reply(time_point now, const server_replied& replied, reply_verdict verdict,
+                          proxy_output& out);
+    void apply_reply(time_point now, const server_replied& replied, proxy_output& out);
     void send_pending(time_point now, connection_id id, attempt_id attempt, proxy_output& out);
     void finish_running(const pooled_session& session, const expected_reply& ended);
     [[nodiscard]] static bool overdue(time_point now, const pooled_session& session);
