Soak: servers that answer twice, strangers, and commits that nobody asked for

- fault double_member_answers: a server sends 3, 10 or 30% of its answers twice for 2 to 6 s, in some runs cut off; in the set doubled alone, and in the new set full with all others.
The sets of recorded seeds are unchanged, and so are their draws: strangers are seeded apart and call only in the new sets.
- two strangers send a line with a bare line feed, the id -, a line that is cut off, bytes that are not UTF-8.
- pinned checks the state of each run that succeeded, also of first statements that were retried; before, it passed over these.
- problems are counted by kind, and all are kept with the logs.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -4,8 +4,8 @@
 Each seed starts the stand-in for the platform, the network relay and six VMs, runs callers with
 SQL sessions, and injects faults in series and overlapping: VMs are killed, stopped, paused and
 restarted; connections are delayed, cut, reset and silenced; backend servers crash, stop answering,
-lag, lose answers, are isolated and leave; the store is down or slow, loses answers, forgets its
-history and refuses VMs; the configuration changes. Afterwards the checker compares the answers that
+lag, lose answers, answer twice, are isolated and leave; the store is down or slow, loses answers,
+forgets its history and refuses VMs; the configuration changes. Afterwards the checker compares the answers that
 callers received with the statements that backend servers ran.
 
 usage: tools/soak.py [--jobs N] [--keep] [--vms N] [--faults SET] SEED...
@@ -14,6 +14,7 @@
 """
 import argparse
 import asyncio
+import collections
 import contextlib
 import json
 import os
@@ -25,7 +26,7 @@
 import tempfile
 import time
 
-from soak_callers import Caller
+from soak_callers import Caller, Stranger
 from soak_judge import judge
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -43,7 +44,13 @@
 # Backend servers leave while VMs cannot reach the store or are restarted.
 LEAVING_FAULTS = ('leave_member_for_long', 'leave_while_vms_are_turned_away',
                   'leave_while_vms_are_turned_away', 'turn_vms_away', 'cut', 'stop_vm', 'kill_vm')
-FAULT_SETS = {'all': FAULTS, 'first': FIRST_FAULTS, 'leaving': LEAVING_FAULTS}
+# The sets above keep their meaning for recorded seeds; new faults join the sets below, in which
+# strangers call, too.
+FAULT_SETS = {'all': FAULTS, 'first': FIRST_FAULTS, 'leaving': LEAVING_FAULTS,
+              'doubled': ('double_member_answers',),
+              'full': FAULTS + ('double_member_answers', 'double_member_answers')}
+SETS_WITH_STRANGERS = ('doubled', 'full')
+STRANGERS = 2
 GROUPS = ('ledger', 'parts')
 STORE_PORT, PROMOTION_PORT, CONTROL_PORT = 7300, 7301, 7302
 SESSION_PORT, READY_PORT, PEER_PORT, METRICS_PORT, MEMBER_PORT = 7000, 7001, 7100, 7101, 7200
@@ -58,10 +65,11 @@
 class Soak:
     """Processes, faults and callers of one seed."""
 
-    def __init__(self, seed, net, folder, vms, faults):
+    def __init__(self, seed, net, folder, vms, faults, strangers):
         self.random = random.Random(seed)
         self.net, self.folder, self.vm_count, self.faults = net, pathlib.Path(folder), vms, faults
         self.processes, self.events, self.version = {}, [], 0
+        self.strangers = strangers
         self.disturbances = []  # [net of the VM or None for all, begin, end]
         self.leaves = []        # (backend server, begin, end)
         self.used_members = set()
@@ -295,6 +303,18 @@
     async def lose_member_answers(self):
         await self.member(self.random.choice(self.members)['name'], lose_answers=3)
 
+    async def double_member_answers(self):
+        """A backend server sends a share of its answers twice, in some runs cut off."""
+        name = self.random.choice(self.members)['name']
+        fault = dict(double_answers=self.random.choice([0.03, 0.1, 0.3]),
+                     double_cuts=self.random.choice([0, 0, 0.3]),
+                     double_delay_ms=self.random.choice([10, 100, 300]))
+        await self.member(name, **fault)
+        self.note(f'backend server {name} answers twice: {fault}')
+        await asyncio.sleep(self.random.uniform(2, 6))
+        await self.member(name, double_answers=0)
+        self.note(f'backend server {name} answers once')
+
     async def leave_member(self, seconds=3):
         """A backend server announces that it leaves, keeps serving, then crashes and restarts."""
         with self.member_for_fault() as name:
@@ -408,7 +428,7 @@
         await self.store(down_ms=0, delay_ms=0, lose_answers=0, refused=[])
         for member in self.members:
             await self.member(member['name'], state='running', leaving=False, isolated=False,
-                              lag_ms=8, lose_answers=0)
+                              lag_ms=8, lose_answers=0, double_answers=0)
         for vm in self.vms:
             self.signal(vm['name'], signal.SIGCONT)
         self.restart_ended()
@@ -453,6 +473,8 @@
             organisation = 'org-hot' if number % 6 == 0 else ('org-a', 'org-b')[number % 2]
             callers.append(Caller(number, vms, self.callers_address, organisation,
                                   self.keys[organisation][0], self.random.random()))
+        callers += [Stranger(CALLERS + number, vms, self.callers_address, 'org-a',
+                             self.keys['org-a'][0], number) for number in range(self.strangers)]
         tasks = [asyncio.create_task(caller.run()) for caller in callers]
         await self.inject()
         await self.heal()
@@ -493,7 +515,8 @@
 
 def run_seed(seed, slot, keep, vms, faults):
     with tempfile.TemporaryDirectory(prefix='jackdawvane-soak-') as folder:
-        soak = Soak(seed, f'127.{30 + slot}', folder, vms, FAULT_SETS[faults])
+        soak = Soak(seed, f'127.{30 + slot}', folder, vms, FAULT_SETS[faults],
+                    STRANGERS if faults in SETS_WITH_STRANGERS else 0)
         callers = []
         try:
             problems, callers = asyncio.run(soak.run())
@@ -513,7 +536,11 @@
             begin = soak.started
             (kept / 'events.txt').write_text(
                 ''.join(f'{at - begin:8.3f} {text}\n' for at, text in soak.events))
+            (kept / 'problems.txt').write_text(''.join(f'{each}\n' for each in problems))
             print(f'    logs in {kept}', flush=True)
+        kinds = collections.Counter(problem.partition(':')[0] for problem in problems)
+        if problems:
+            print(f'    problems by kind: {dict(kinds)}', flush=True)
         for problem in problems[:8]:
             print(f'    FAILED: {problem}', flush=True)
         return len(problems)
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -77,12 +77,12 @@
         if words[0] == 'EXECUTE':
             sent['shape'] = self.prepared[words[1]]
         self.statements[name] = sent
-        self.writer.write(f'QUERY {name} {text}\r\n'.encode())
+        self.writer.write(f'QUERY {name} {text}\r\n'.encode('latin-1'))
         while True:
             line = await asyncio.wait_for(self.reader.readline(), STATEMENT_S)
             if not line.endswith(b'\r\n'):
                 raise Ended('closed')
-            word, _, rest = line.decode().rstrip('\r\n').partition(' ')
+            word, _, rest = line[:-2].decode('latin-1').partition(' ')
             if word == 'ROW':
                 sent['rows'].append(rest)
             elif word == 'COMPLETE':
@@ -160,3 +160,36 @@
                 return answer['error']
             await asyncio.sleep(self.random.uniform(0, 0.05))
         return ''
+
+
+class Stranger(Caller):
+    """A caller that sends lines which the protocol allows, but no other caller sends."""
+
+    async def operate(self):
+        await self.random.choice([self.line_feed, self.own_id, self.cut_off, self.odd_bytes])()
+        raise Ended('once per session')
+
+    async def line_feed(self):
+        """One line that would be two if it ended at the line feed."""
+        second = self.random.choice([f'WRITE {self.writing()}', 'COMMIT', f'READ {self.item()}'])
+        hidden = f'{self.number:04x}ff{self.sequence:010x}'
+        first = self.random.choice([f'WRITE {self.writing()}', f'READ {self.item()}'])
+        await self.query(f'{first}\nQUERY {hidden} {second}', 0)
+
+    async def own_id(self):
+        """Statements under the id of the proxy's own commands."""
+        for text in (f'WRITE {self.writing()}', f'READ {self.item()}', 'COMMIT'):
+            self.writer.write(f'QUERY - {text}\r\n'.encode())
+        await asyncio.wait_for(self.reader.read(), 0.5)
+
+    async def cut_off(self):
+        """A line without an end when the connection ends."""
+        self.writer.write(f'QUERY {self.number:04x}fe{self.sequence:010x} WRITE '
+                          f'{self.writing()}'.encode())
+        await self.writer.drain()
+
+    async def odd_bytes(self):
+        """Bytes that are not UTF-8, in an item and in data."""
+        item, data = 'i\xff\xc0', f'\x80\xfe{self.sequence}'
+        await self.query(f'WRITE {item} {data}', 0)
+        await self.query(f'READ {item}', 0)
--- a/tools/soak_judge.py
+++ b/tools/soak_judge.py
@@ -76,13 +76,21 @@
 
 
 def unasked(evidence):
-    """UNASKED: a statement that no caller sent, a changed text, or the wrong organisation."""
+    """UNASKED: a statement that no caller sent, a changed text, the wrong organisation, or a commit
+    that its caller has not asked for. Own commands with the id `-` are not in the record."""
     for run in evidence.runs:
         entry = evidence.sent.get(run['id'])
         if entry is None or plain(entry['text']) != plain(run['text']):
             yield f'unasked: {run["id"]} {run["text"]}, sent {entry and entry["text"]}'
         elif run['organisation'] != entry['organisation']:
             yield f'unasked: {run["id"]} ran for {run["organisation"]}'
+    for name in set(evidence.kept) | evidence.rolled_back:
+        entry = evidence.sent.get(name)
+        if entry is None:
+            yield f'unasked: {name} took effect, but no caller sent it'
+        elif entry['transaction'] > 0 and all(
+                each['text'] != 'COMMIT' for each in evidence.by_transaction[unit_of(entry)]):
+            yield f'unasked: {name} took effect without a COMMIT'
 
 
 def pinned(evidence):
@@ -93,6 +101,9 @@
         entry = evidence.sent.get(run['id'])
         if entry is None or run['error'] or not works(entry):
             continue
+        wrong_state = (entry['transaction'] > 0) != (run['state'] == 'T')
+        if wrong_state:
+            yield f'pinned: {run["id"]} {run["text"]} ran in state {run["state"]}'
         # If the answer to the first statement of a transaction is lost, the statement may be
         # retried in a new transaction, because losing the connection rolled the first one back.
         # Seed 3: the server crashed between run and answer; seed 104: it lost three answers.
@@ -103,9 +114,7 @@
             continue
         place = (run['member'], run['connection'], run['transaction'])
         own = (entry['session'], entry['transaction'])
-        if (entry['transaction'] > 0) != (run['state'] == 'T'):
-            yield f'pinned: {run["id"]} {run["text"]} ran in state {run["state"]}'
-        elif entry['transaction'] > 0:
+        if not wrong_state and entry['transaction'] > 0:
             if places.setdefault(own, place) != place or owners.setdefault(place, own) != own:
                 yield f'pinned: {run["id"]}: {own} at {place}, before at {places[own]}'
         if run['values'] != entry['values']:
