Soak: the store comes back from a copy

The faults restore_store (copy 2 to 6 s before; 0 or 300 foreign writes and, in half of the runs, a kill of the VM with the coordinator lease since) and restore_between_promotions (300 writes, that kill, a crash of one primary before and of the other after the return) join the sets restored and full; the operator writes its newest document again each time. The check config reports a process of a VM that knew an added route and later answers NODB: routes are only added.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,7 +5,7 @@
 SQL sessions, and injects faults in series and overlapping: VMs are killed, stopped, paused and
 restarted; connections are delayed, cut, reset and silenced; backend servers crash, stop answering,
 lag, lose answers, answer twice, are isolated and leave; the store is down or slow, loses answers,
-forgets its history and refuses VMs; the configuration changes. Afterwards the checker compares the answers that
+forgets its history, refuses VMs and comes back from a copy; the configuration changes. Afterwards the checker compares the answers that
 callers received with the statements that backend servers ran.
 
 usage: tools/soak.py [--jobs N] [--keep] [--vms N] [--faults SET] SEED...
@@ -14,6 +14,7 @@
 """
 import argparse
 import asyncio
+import base64
 import collections
 import contextlib
 import json
@@ -48,8 +49,12 @@
 # strangers call, too.
 FAULT_SETS = {'all': FAULTS, 'first': FIRST_FAULTS, 'leaving': LEAVING_FAULTS,
               'doubled': ('double_member_answers',),
-              'full': FAULTS + ('double_member_answers', 'double_member_answers')}
+              'restored': ('restore_store', 'restore_between_promotions', 'change_configuration',
+                           'crash_member'),
+              'full': FAULTS + ('double_member_answers', 'double_member_answers', 'restore_store',
+                              'restore_between_promotions')}
 SETS_WITH_STRANGERS = ('doubled', 'full')
+HOLDER_KEY = 'jackdawvane/duty/promotion'  # of the VM with the coordinator lease
 STRANGERS = 2
 GROUPS = ('ledger', 'parts')
 STORE_PORT, PROMOTION_PORT, CONTROL_PORT = 7300, 7301, 7302
@@ -75,6 +80,8 @@
         self.used_members = set()
         self.keys = {name: [f'key-of-{name}', f'spare-key-of-{name}'] for name in organisations()}
         self.revoked, self.added = [], []
+        self.document, self.watching = None, True
+        self.known_routes = []  # (time, process of a VM, route, whether it is known)
         self.started = time.monotonic()
         self.describe()
 
@@ -201,12 +208,16 @@
         tenants = [dict(name=name, priority=1, **limits,
                         api_keys=[key for key in self.keys[name] if key not in self.revoked])
                    for name, limits in organisations().items()]
-        document = dict(version=self.version, routes=routes, tenants=tenants,
+        self.document = dict(version=self.version, routes=routes, tenants=tenants,
                         services=[dict(name=group, health_check_path='/health', max_connections=22,
                                        protocol='h1', tls=False, sync_replica_count=0)
                                   for group in GROUPS],
                         limits=dict(idle_timeout_ms=15000, tx_idle_ms=3000))
-        while await self.control('/config', document) is None:
+        await self.publish()
+
+    async def publish(self):
+        """Writes the newest configuration; retries until the store accepts it."""
+        while await self.control('/config', self.document) is None:
             await asyncio.sleep(0.1)
 
     # -- faults; each returns when it has ended
@@ -350,6 +361,74 @@
             await asyncio.sleep(self.random.uniform(1, 4))
             await self.store(delay_ms=0, refused=[])
 
+    async def restore_store(self):
+        """The store comes back from a copy; in some runs it was written a lot since, or the VM with
+        the coordinator lease has been killed since. The operator writes its document again."""
+        with self.disturbed([None]):
+            await self.store(copy=True)
+            await asyncio.sleep(self.random.uniform(2, 6))
+            await self.write_elsewhere(self.random.choice([0, 300]))
+            if self.random.random() < 0.5:
+                await self.kill_holder()
+            milliseconds = self.random.randint(50, 1500)
+            await self.store(restored_ms=milliseconds)
+            self.note(f'store down for {milliseconds} ms, then restored from its copy')
+            await asyncio.sleep(milliseconds / 1000)
+            await self.publish()
+            self.note(f'configuration {self.version} written again')
+
+    async def restore_between_promotions(self):
+        """A primary crashes after the copy, another one after the store has come back from it."""
+        with self.disturbed([None]):
+            await self.store(copy=True)
+            await self.write_elsewhere(300)
+            await self.kill_holder()
+            await self.crash_primary(GROUPS[0])
+            await self.store(restored_ms=500)
+            self.note('store down for 500 ms, then restored from its copy')
+            await asyncio.sleep(0.5)
+            await self.publish()
+            await self.crash_primary(GROUPS[1])
+
+    async def crash_primary(self, group):
+        members = (await self.control('/inspect'))['groups'][group]['members']
+        name = max((each for each in members if each['primary']), key=lambda each: each['term'])['id']
+        self.used_members.add(name)
+        await self.member(name, state='crashed')
+        self.note(f'primary {name} crashed')
+        await asyncio.sleep(4)
+        await self.member(name, state='running')
+        self.used_members.discard(name)
+
+    async def write_elsewhere(self, count):
+        for number in range(count):
+            await self.post(f'{self.site}:{STORE_PORT}', '/kv-txn',
+                            dict(writes=[dict(key=f'other/{number}', value='', lease=0)]))
+
+    async def kill_holder(self):
+        items = (await self.control('/inspect'))['store']['items']
+        holder = base64.b64decode(items.get(HOLDER_KEY, '')).decode()
+        if holder in self.processes:
+            self.signal(holder, signal.SIGKILL)
+            self.note(f'killed {holder}, which had the coordinator lease')
+            await asyncio.sleep(self.random.uniform(0.2, 3))
+            self.restart_ended()
+
+    async def watch_routes(self, vms):
+        """Asks each VM for the newest routes while `watching` is set."""
+        while self.watching:
+            for vm, address in zip(self.vms, vms):
+                process = f'{vm["name"]} ({self.processes[vm["name"]].pid})'
+                for route in self.added[-2:]:
+                    probe = Caller(900, [address], self.callers_address, 'org-a',
+                                   self.keys['org-a'][0], 0)
+                    asked = time.monotonic()
+                    known = await probe.knows(route)
+                    if known is not None and process.endswith(
+                            f'({self.processes[vm["name"]].pid})'):
+                        self.known_routes.append((asked, process, route, known))
+            await asyncio.sleep(0.2)
+
     async def turn_vms_away(self):
         """The store refuses some VMs for 4 to 14 s and serves the others."""
         count = self.random.choice([2, self.vm_count // 2, self.vm_count - 1])
@@ -476,6 +555,8 @@
         callers += [Stranger(CALLERS + number, vms, self.callers_address, 'org-a',
                              self.keys['org-a'][0], number) for number in range(self.strangers)]
         tasks = [asyncio.create_task(caller.run()) for caller in callers]
+        if 'restore_store' in self.faults:
+            tasks.append(asyncio.create_task(self.watch_routes(vms)))
         await self.inject()
         await self.heal()
         await asyncio.sleep(RECOVERY_S)
@@ -483,6 +564,7 @@
         await asyncio.sleep(TAIL_S)
         for caller in callers:
             caller.stop()
+        self.watching = False
         await asyncio.gather(*tasks)
         problems = await self.final_configuration(vms)
         record, state = await self.control('/record'), await self.control('/inspect')
@@ -491,7 +573,7 @@
                                      for each in caller.statements.values()])))
         self.ended_by_themselves(problems)
         problems += judge(callers, record, state, self.events, organisations(), tail_from,
-                          self.leaves, self.disturbances)
+                          self.leaves, self.disturbances, self.known_routes)
         return problems, callers
 
     async def final_configuration(self, vms):
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -50,6 +50,18 @@
         finally:
             self.close()
 
+    async def knows(self, route):
+        """Whether the VM has the route; None if the answer is neither."""
+        try:
+            await self.open(route)
+            return True
+        except Ended as refusal:
+            return False if b'NODB' in refusal.args[0] else None
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return None
+        finally:
+            self.close()
+
     def close(self):
         if self.writer is not None:
             self.writer.close()
--- a/tools/soak_judge.py
+++ b/tools/soak_judge.py
@@ -255,6 +255,16 @@
                        f'entry {entry["vm"]}, from {run["from"]}')
 
 
+def reverted(known_routes):
+    """CONFIG: a VM's processes that knew a route, and later did not; routes are only added."""
+    known = set()
+    for at, lifetime, route, knows in known_routes:
+        if knows:
+            known.add((lifetime, route))
+        elif (lifetime, route) in known:
+            yield f'config: {lifetime} knew {route} before {at:.3f}, and not then'
+
+
 def served(evidence, tail_from):
     """SERVED: too few operations succeed after all faults have ended; the organisation that exceeds
     its limit is not counted."""
@@ -266,12 +276,13 @@
         yield f'served: {done} of {len(counted)} after all faults ended: {dict(kinds)}'
 
 
-def judge(callers, record, state, events, limits, tail_from, leaves, disturbances):
+def judge(callers, record, state, events, limits, tail_from, leaves, disturbances,
+          known_routes):
     """Returns a text for each violated guarantee."""
     evidence = Evidence(callers, record, state)
     found = []
     for check in (mixed(evidence), unasked(evidence), pinned(evidence), commits(evidence),
                   stale(evidence), one(evidence, events), quota(evidence, limits),
-                  drain(evidence, leaves, disturbances), served(evidence, tail_from)):
+                  drain(evidence, leaves, disturbances), reverted(known_routes), served(evidence, tail_from)):
         found += list(check)
     return found
