--- a/src/adapters/line_stream.cpp
+++ b/src/adapters/line_stream.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t read_size = 4096;
+constexpr std::string_view line_end = "\r\n";
 /// Bytes queued for a peer that does not read; beyond them the connection is closed.
 constexpr std::size_t output_limit = std::size_t{8} * 1024 * 1024;
 // A peer that lost power or is partitioned sends nothing, not even a reset. These options close
@@ -114,16 +115,12 @@
 void line_stream::process_lines() {
     std::size_t begin = 0;
     while (!closed_) {
-        const auto found = input_.find('\n', begin);
+        const auto found = input_.find(line_end, begin);
         if (found == std::string::npos) {
             break;
         }
-        auto length = found - begin;
-        if (length > 0 && input_[found - 1] == '\r') {
-            --length;
-        }
-        const std::string line{input_, begin, length};
-        begin = found + 1;
+        const std::string line{input_, begin, found - begin};
+        begin = found + line_end.size();
         if (on_line_) {
             on_line_(line);
         }
--- a/tests/platform/line_codec_test.cpp
+++ b/tests/platform/line_codec_test.cpp
@@ -56,6 +56,14 @@
     }
 }
 
+// Guards against a line that a backend server ends elsewhere than this proxy.
+TEST(LineCodec, ControlCharactersInAnAnswerAreUnreadable) {
+    using namespace std::string_view_literals;
+    for (const auto line : {"ROW a\nCOMPLETE s"sv, "ROW a\rb"sv, "ROW a\0b"sv, "COMPLETE s\n"sv}) {
+        EXPECT_TRUE(std::holds_alternative<malformed_line>(line_codec{}.read_backend(line)));
+    }
+}
+
 TEST(LineCodec, ReadsTheAnswersOfABackendServer) {
     const line_codec codec;
     EXPECT_EQ(std::get<answer_row>(codec.read_backend("ROW a b")).text, "a b");
--- a/tests/platform/session_ports_test.cpp
+++ b/tests/platform/session_ports_test.cpp
@@ -173,5 +173,23 @@
     EXPECT_TRUE(std::holds_alternative<session_closed>(events[3]));
 }
 
+/// Guards against a statement that is hidden in another one's line: the protocol ends lines at CR
+/// LF, but a bare LF ended one as well (issue 31).
+TEST_F(SessionPorts, BareLineFeedDoesNotEndACallersLine) {
+    const auto port = acceptor.local_endpoint().port();
+    acceptor.close();
+    session_port_settings settings;
+    settings.listen = {"127.0.0.1", port};
+    session_port sessions{context, settings, codec, sink()};
+    tcp::socket caller{context};
+    caller.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::write(caller, asio::buffer(std::string{
+                            "STARTUP db key\r\nQUERY 1 READ a\nQUERY 2 WRITE b c\r\n"}));
+    context.run_for(milliseconds{50});
+    ASSERT_EQ(events.size(), 2U);
+    EXPECT_TRUE(std::holds_alternative<session_started>(events[0]));
+    EXPECT_TRUE(std::holds_alternative<session_broken>(events[1]));
+}
+
 } // namespace
 } // namespace jackdawvane::platform
