Carry texts between VMs unchanged when they are not UTF-8

Cause: a statement whose connection belongs to another VM travels as JSON. libjsonrpccpp's client writes it with jsoncpp's default, which decodes UTF-8 and replaces what is not valid; of `a\x80z` arrived `a` and U+FFFD, the z was lost.

Change: the notification is written with jsoncpp itself, whose setting emitUTF8 copies the bytes. The reader did so already. The client part of libjsonrpccpp and the C++14 exception for its headers are no longer used.

Evidence: ForwardedText.ArrivesUnchanged failed in 6 of 17 cases (single continuation byte, cut and overlong sequence, surrogate, code beyond Unicode, byte ff) and passes in all. Valid UTF-8, 0x7f, U+FEFF, U+2028, U+FFFD and a text of 900,000 bytes arrived unchanged before, too. peer_port_test and peer_contract_test pass.

--- a/src/adapters/json_rpc_writer.cpp
+++ b/src/adapters/json_rpc_writer.cpp
@@ -1,34 +1,25 @@
 #include "json_rpc_writer.hpp"
 
-#include <jsonrpccpp/client.h>
+#include <memory>
+#include <sstream>
 
-namespace jackdawvane {
-namespace detail {
-
-namespace {
-
-/// Captures the text that the client would send, because libjsonrpccpp's transport is not used.
-class text_capture : public jsonrpc::IClientConnector {
-  public:
-    void SendRPCMessage(const std::string& message,
-                        std::string& /*result*/) throw(jsonrpc::JsonRpcException) override {
-        text = message;
-    }
-
-    std::string text;
-};
-
-} // namespace
+namespace jackdawvane::detail {
 
 std::string write_notification(const std::string& method, const Json::Value& params) {
-    text_capture capture;
-    jsonrpc::Client client{capture, jsonrpc::JSONRPC_CLIENT_V2};
-    client.CallNotification(method, params);
-    while (!capture.text.empty() && capture.text.back() == '\n') {
-        capture.text.pop_back();
-    }
-    return capture.text;
+    // Texts of callers may contain bytes that are not UTF-8. libjsonrpccpp's client replaces them.
+    thread_local const std::unique_ptr<Json::StreamWriter> writer = [] {
+        Json::StreamWriterBuilder settings;
+        settings["indentation"] = "";
+        settings["emitUTF8"] = true;
+        return std::unique_ptr<Json::StreamWriter>{settings.newStreamWriter()};
+    }();
+    Json::Value notification{Json::objectValue};
+    notification["jsonrpc"] = "2.0";
+    notification["method"] = method;
+    notification["params"] = params;
+    std::ostringstream text;
+    writer->write(notification, &text);
+    return text.str();
 }
 
-} // namespace detail
-} // namespace jackdawvane
+} // namespace jackdawvane::detail
