--- a/tests/platform/line_codec_test.cpp
+++ b/tests/platform/line_codec_test.cpp
@@ -36,6 +36,8 @@
         statement_case{"execute", "QUERY 1 EXECUTE s 1a4 x", statement_kind::execute},
         statement_case{"deallocate", "QUERY 1 DEALLOCATE s", statement_kind::deallocate},
         statement_case{"prefix_of_ours", "QUERY 1 AFTER 1.1 READ 1", statement_kind::unknown},
+        statement_case{"id_of_ours", "QUERY - READ 1a4", statement_kind::unknown},
+        statement_case{"empty_id", "QUERY  READ 1a4", statement_kind::unknown},
         statement_case{"no_text", "QUERY 1", statement_kind::unknown}),
     [](const auto& each) { return each.param.name; });
 
