Take no evidence from a status answer with rows of another one

Cause: of an answer with several rows, server_port takes the first status, which is the older one when it was left by an answer that was cut off.

Change: the observer ends such a connection and reports its commands as unanswered. Answers that fit no command are logged and counted.

Evidence: group_observer_test and failover_coordinator_test pass. A whole second answer is still taken for the next question.

--- a/include/jackdawvane/sessions/messages.hpp
+++ b/include/jackdawvane/sessions/messages.hpp
@@ -201,6 +201,9 @@
          {command_kind::step_down, "step_down"}}};
 };
 
+/// @brief Name of @a kind in logs.
+[[nodiscard]] const char* to_string(command_kind kind) noexcept;
+
 /// @brief One command for a backend server.
 struct backend_command {
     command_kind kind{command_kind::caller_text};
--- a/src/core/sessions/group_observer.cpp
+++ b/src/core/sessions/group_observer.cpp
@@ -344,7 +344,19 @@
     }
     const auto backend = found->second;
     auto& own = controls_[backend];
-    if (own.sent.empty()) {
+    // With several rows, some are from an earlier answer that was cut off.
+    if (own.sent.empty() || replied.reply.rows.size() > 1) {
+        log(out.common, log_component, log_level::warning,
+            "foreign_reply backend=" + backend.str() +
+                " connection=" + std::to_string(replied.connection.value()) +
+                " pending=" + (own.sent.empty() ? "none" : to_string(own.sent.front().kind)) +
+                " age_ms=" + (own.sent.empty() ? "-" : age_text(now, own.sent.front().at)) +
+                " problem=" + to_string(replied.reply.problem) +
+                " rows=" + std::to_string(replied.reply.rows.size()) + " outcome=closed");
+        count(out.common, "member_foreign_replies_total", "verdict", "control");
+        for (const auto& each : std::exchange(own.sent, {})) {
+            answers_.push_back({backend, each.kind, {}});
+        }
         disconnect(now, own, out);
         return true;
     }
--- a/src/core/sessions/messages.cpp
+++ b/src/core/sessions/messages.cpp
@@ -16,6 +16,13 @@
     return names.at(static_cast<std::size_t>(kind));
 }
 
+const char* to_string(command_kind kind) noexcept {
+    const auto& table = enum_names<command_kind>::table;
+    const auto* const found = std::find_if(table.begin(), table.end(),
+                                           [&](const auto& each) { return each.first == kind; });
+    return found == table.end() ? "" : found->second;
+}
+
 const char* to_string(close_reason reason) noexcept {
     constexpr std::array<std::pair<close_reason, const char*>, 4> names{
         {{close_reason::refused, "refused"},
--- a/tests/core/group_observer_test.cpp
+++ b/tests/core/group_observer_test.cpp
@@ -203,6 +203,41 @@
     EXPECT_GE(asked.size(), 3U);
 }
 
+/// Guards against an old status that counts as new: the row of a status answer that was cut off
+/// came before that of the next one (issue 31).
+TEST(GroupObserver, AnswerWithRowsOfAnotherOneIsNoEvidence) {
+    observing_vm vm{7};
+    const auto g = group_at(3);
+    proxy_output out;
+    vm.observer.on_query(at(0), vm.state.live[8].vm, {1, 1, {g}}, out);
+    const auto opened = vm.tick(at(10));
+    for (const auto& each : opened.sessions) {
+        if (const auto* start = std::get_if<open_server_connection>(&each)) {
+            vm.observer.on_ready(at(11), {start->connection, {}}, out);
+        }
+    }
+    std::size_t answered = 0;
+    const auto later = vm.tick(at(300));
+    for (const auto* from : {&opened, &later}) {
+        for (const auto& each : from->sessions) {
+            const auto* sent = std::get_if<send_to_server>(&each);
+            if (sent == nullptr) {
+                continue;
+            }
+            ++answered;
+            server_replied reply{sent->connection, {}, replica_status(1, point(1, 5))};
+            reply.reply.rows = {"old", "own"};
+            vm.observer.on_reply(at(301), reply, out);
+        }
+    }
+    ASSERT_GT(answered, 0U);
+    EXPECT_EQ(vm.observer.heard(), time_point{});
+    const auto answers = vm.observer.take_answers();
+    EXPECT_FALSE(answers.empty());
+    EXPECT_TRUE(std::none_of(answers.begin(), answers.end(),
+                             [](const auto& each) { return each.status.has_value(); }));
+}
+
 /// VMs of one region and the store, with instant delivery of messages and answers.
 class observing_fleet {
   public:
