--- a/tools/soak.py
+++ b/tools/soak.py
@@ -33,6 +33,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 LOAD_S = 18          # faults are injected within this time
 RECOVERY_S = 5       # from the end of all faults until service is checked; over `config_apply_ms`
+PROMOTION_S = 7      # a crashed primary stays away this long, so that it is replaced
 TAIL_S = 3           # service is checked during this time
 CALLERS = 24
 REGIONS = {'east-1': 'east', 'east-2': 'east', 'west-1': 'west'}
@@ -396,7 +397,7 @@
         self.used_members.add(name)
         await self.member(name, state='crashed')
         self.note(f'primary {name} crashed')
-        await asyncio.sleep(4)
+        await asyncio.sleep(PROMOTION_S)
         await self.member(name, state='running')
         self.used_members.discard(name)
 
