Log the proofs, holds and resumes behind a change of primary

Nothing said which replica's status a VM took as proof.

The observer now logs the proving status of a group (replica, its term and held term, age) when it changes or is new after a gap; at most one line a second when only the replica differs. The lines pass through the bounded log like all others.

--- a/include/jackdawvane/sessions/failover_coordinator.hpp
+++ b/include/jackdawvane/sessions/failover_coordinator.hpp
@@ -101,6 +101,10 @@
     void call_promote(time_point now, const group_id& group, attempt& current, proxy_output& out);
     void advance_await_takeover(time_point now, const group_id& group, attempt& current,
                                 proxy_output& out);
+    void report_hold(time_point now, const group_id& group, const attempt& current,
+                     proxy_output& out) const;
+    void resume(time_point now, const group_id& group, const backend_server_id& backend,
+                const char* reason, proxy_output& out);
     void end(time_point now, const group_id& group, const char* outcome, proxy_output& out);
     void reconcile_servers(time_point now, proxy_output& out);
     [[nodiscard]] bool enough_replicas_held(const group_id& group, const attempt& current) const;
--- a/include/jackdawvane/sessions/group_leadership.hpp
+++ b/include/jackdawvane/sessions/group_leadership.hpp
@@ -23,6 +23,16 @@
     duration min_sample_interval{std::chrono::milliseconds{40}};
 };
 
+/// @brief A status that proves that a primary has not been replaced.
+struct primary_proof {
+    backend_server_id primary;
+    jackdawvane::term term;
+    backend_server_id replica; ///< Server whose status is the proof.
+    jackdawvane::term replica_term;
+    jackdawvane::term replica_held_term;
+    time_point requested_at{};
+};
+
 /// @brief What this VM can prove about the primary of one group.
 ///
 /// All times are those of this VM's clock from before the request was sent, so evidence is never
@@ -71,6 +81,9 @@
     /// @brief Newest log position that @a server is known to have received.
     [[nodiscard]] std::optional<log_point> received(const backend_server_id& server) const;
 
+    /// @brief The last status of a replica that proved a primary.
+    [[nodiscard]] const std::optional<primary_proof>& proof() const noexcept { return proof_; }
+
     /// @brief Whether the last known primary has reported that it is now a replica.
     [[nodiscard]] bool stepped_down() const noexcept { return stepped_down_; }
 
@@ -100,6 +113,7 @@
     jackdawvane::term highest_;
     std::map<backend_server_id, evidence> evidence_;
     time_point confirmed_at_{time_point::min()};
+    std::optional<primary_proof> proof_;
     time_point usable_from_{};
     time_point primary_answered_at_{time_point::min()};
     time_point closed_since_{time_point::max()};
--- a/include/jackdawvane/sessions/group_observer.hpp
+++ b/include/jackdawvane/sessions/group_observer.hpp
@@ -53,6 +53,9 @@
     duration stale_reader_backoff{std::chrono::seconds{2}};
     /// A VM without a reader to query reads the registry itself when its list is older than this.
     duration direct_read_after{std::chrono::milliseconds{3500}};
+    /// Between two log lines about a group's proof that differ only in the proving replica, and the
+    /// gap between two proofs after which the same one is logged again.
+    duration proof_report_interval{std::chrono::milliseconds{1000}};
     /// Between two samples of the metric `registry_age_ms`.
     duration age_report_interval{std::chrono::milliseconds{1000}};
 };
@@ -159,6 +162,8 @@
     void report_failed_read(time_point now, proxy_output& out) const;
     /// Reports the age of the list as a metric, and logs when it becomes old or current again.
     void report_age(time_point now, proxy_output& out);
+    /// Logs for each group the status that proves its primary, when it has changed or is new.
+    void report_proofs(time_point now, proxy_output& out);
     void poll_servers(time_point now, proxy_output& out);
     /// Replica whose statuses prove that the primary of @a group has not been replaced.
     [[nodiscard]] backend_server_id proving_replica(const group_id& group) const;
@@ -223,6 +228,11 @@
     time_point next_directory_read_{};
     bool reported_stale_{false}; ///< As last logged.
     time_point next_age_report_{};
+    struct reported_proof {
+        primary_proof proof;
+        time_point at;
+    };
+    std::map<group_id, reported_proof> reported_proofs_;
     time_point due_{};
 };
 
--- a/src/core/sessions/failover_coordinator.cpp
+++ b/src/core/sessions/failover_coordinator.cpp
@@ -4,17 +4,9 @@
 
 #include <algorithm>
 
-namespace jackdawvane {
-
-namespace {
-
-constexpr const char* log_component = "promotion";
-
-std::string in_group(const group_id& group, const std::string& text) {
-    return "group=" + group.str() + " " + text;
-}
+#include "promotion_log.hpp"
 
-} // namespace
+namespace jackdawvane {
 
 failover_coordinator::failover_coordinator(fleet_state& state, group_observer& observer,
                                            coordinator_lease& lease,
@@ -32,7 +24,7 @@
 void failover_coordinator::tick(time_point now, proxy_output& out) {
     if (!lease_.held(now)) {
         if (!attempts_.empty()) {
-            log(out.common, log_component, log_level::warning,
+            log(out.common, promotion_log::component, log_level::warning,
                 "stopped: the coordinator lease is not held");
         }
         attempts_.clear();
@@ -122,10 +114,11 @@
     current.old_term = leadership.term();
     current.target_term = leadership.highest_term().next();
     current.started = now;
-    log(out.common, log_component, log_level::warning,
-        in_group(group, "start reason=\"" + current.reason +
-                            "\" old=" + (current.old_primary ? current.old_primary->str() : "-") +
-                            " term=" + std::to_string(current.target_term.value())));
+    log(out.common, promotion_log::component, log_level::warning,
+        promotion_log::in_group(
+            group, "start reason=\"" + current.reason +
+                       "\" old=" + (current.old_primary ? current.old_primary->str() : "-") +
+                       " term=" + std::to_string(current.target_term.value())));
     if (planned) {
         current.step = phase::step_down;
         current.step_until = now + settings_.short_hold_timeout;
@@ -292,6 +285,7 @@
         }
         return;
     }
+    report_hold(now, group, current, out);
     current.held_at = now;
     current.step = phase::fence;
     auto& leadership = state_.leadership(group);
@@ -305,6 +299,23 @@
     advance_fence(now, group, current, out);
 }
 
+/// Logs each replica's state: held, or why the hold goes on without it.
+void failover_coordinator::report_hold(time_point now, const group_id& group,
+                                       const attempt& current, proxy_output& out) const {
+    std::string text = "hold term=" + promotion_log::term_text(current.target_term);
+    for (const auto& [server, point] : current.replicas) {
+        const bool refused = observer_.refused_at(server) > current.started;
+        text += " " + server.str() + "=" + (point ? "held" : refused ? "refused" : "silent");
+    }
+    log(out.common, promotion_log::component, log_level::info,
+        promotion_log::in_group(
+            group, text + " old_primary=" +
+                       (current.old_primary_log_end    ? "stepped_down"
+                        : current.old_primary_inactive ? "inactive"
+                                                       : "unknown") +
+                       " ms=" + std::to_string(to_milliseconds(now - current.started))));
+}
+
 /// With synchronous replicas, at least one of the held replicas must have every commit. A commit is
 /// on `sync_replicas` replicas at least, so fewer than that may be missing.
 bool failover_coordinator::enough_replicas_held(const group_id& group,
@@ -357,12 +368,13 @@
     current.step = phase::promote;
     current.step_until = now + settings_.call_timeout;
     out.sessions.emplace_back(promote_server{group, *candidate, state_.self.vm, lease_.fence()});
-    log(out.common, log_component, log_level::info,
-        in_group(group, "promote backend=" + candidate->str() +
-                            " fence=" + std::to_string(lease_.fence()) +
-                            " log=" + std::to_string(current.replicas[*candidate]->term.value()) +
-                            "." + std::to_string(current.replicas[*candidate]->position.value()) +
-                            " ms=" + std::to_string(to_milliseconds(now - current.started))));
+    log(out.common, promotion_log::component, log_level::info,
+        promotion_log::in_group(
+            group, "promote backend=" + candidate->str() +
+                       " fence=" + std::to_string(lease_.fence()) +
+                       " log=" + std::to_string(current.replicas[*candidate]->term.value()) + "." +
+                       std::to_string(current.replicas[*candidate]->position.value()) +
+                       " ms=" + std::to_string(to_milliseconds(now - current.started))));
 }
 
 void failover_coordinator::on_promotion(time_point now, const promotion_answered& answer,
@@ -373,9 +385,10 @@
         return;
     }
     auto& current = found->second;
-    log(out.common, log_component, log_level::info,
-        in_group(answer.group, std::string{"answer accepted="} + (answer.accepted ? "1" : "0") +
-                                   " not_running=" + (answer.not_running ? "1" : "0")));
+    log(out.common, promotion_log::component, log_level::info,
+        promotion_log::in_group(answer.group,
+                                std::string{"answer accepted="} + (answer.accepted ? "1" : "0") +
+                                    " not_running=" + (answer.not_running ? "1" : "0")));
     if (answer.accepted) {
         current.step = phase::await_takeover;
         current.step_until = now + settings_.takeover_timeout;
@@ -396,14 +409,15 @@
             const auto status = last_status_.find(server);
             if (server != current.candidate && status != last_status_.end() &&
                 status->second.held_term > term{}) {
-                send(now, server, command_kind::resume, {}, out);
+                resume(now, group, server, "takeover", out);
             }
         }
         const auto log_end = last_status_[current.candidate].received;
-        log(out.common, log_component, log_level::info,
-            in_group(group, "leads term=" + std::to_string(leadership.term().value()) +
-                                " log=" + std::to_string(log_end.term.value()) + "." +
-                                std::to_string(log_end.position.value())));
+        log(out.common, promotion_log::component, log_level::info,
+            promotion_log::in_group(group,
+                                    "leads term=" + std::to_string(leadership.term().value()) +
+                                        " log=" + std::to_string(log_end.term.value()) + "." +
+                                        std::to_string(log_end.position.value())));
         end(now, group, "done", out);
         return;
     }
@@ -420,43 +434,12 @@
 void failover_coordinator::end(time_point now, const group_id& group, const char* outcome,
                                proxy_output& out) {
     const auto& current = attempts_.at(group);
-    log(out.common, log_component, log_level::warning,
-        in_group(group, std::string{"end outcome=\""} + outcome +
-                            "\" ms=" + std::to_string(to_milliseconds(now - current.started))));
+    log(out.common, promotion_log::component, log_level::warning,
+        promotion_log::in_group(group, std::string{"end outcome=\""} + outcome + "\" ms=" +
+                                           std::to_string(to_milliseconds(now - current.started))));
     next_attempt_at_[group] = now + settings_.retry_delay;
     no_primary_since_.erase(group);
     finished_groups_.insert(group);
 }
 
-/// Makes a primary of an older term that is reachable again step down, and resumes a replica that
-/// an unfinished promotion left held.
-void failover_coordinator::reconcile_servers(time_point now, proxy_output& out) {
-    for (const auto& [backend, entry] : state_.directory.entries()) {
-        const auto status = last_status_.find(backend);
-        const auto& leadership = state_.leadership(entry.registration.group);
-        if (status == last_status_.end() || attempts_.contains(entry.registration.group)) {
-            continue;
-        }
-        const bool deposed =
-            status->second.role == backend_role::primary && status->second.term < leadership.term();
-        const bool left_held = status->second.role == backend_role::replica &&
-                               status->second.held_term > leadership.term() &&
-                               !leadership.stepped_down();
-        auto& last = reconciled_at_[backend];
-        if ((!deposed && !left_held) || now - last < settings_.retry_delay) {
-            continue;
-        }
-        last = now;
-        if (left_held) {
-            log(out.common, log_component, log_level::warning,
-                in_group(entry.registration.group, "resume backend=" + backend.str()));
-            send(now, backend, command_kind::resume, {}, out);
-            continue;
-        }
-        log(out.common, log_component, log_level::warning,
-            in_group(entry.registration.group, "step down backend=" + backend.str()));
-        send(now, backend, command_kind::step_down, leadership.term(), out);
-    }
-}
-
 } // namespace jackdawvane
--- a/src/core/sessions/group_leadership.cpp
+++ b/src/core/sessions/group_leadership.cpp
@@ -36,6 +36,9 @@
     own = {requested_at, status.term <= term_ && status.held_term <= term_,
            status.held_term > term_, false};
     update_proof();
+    if (own.supports_primary && primary_ && primary_ != server) {
+        proof_ = {*primary_, term_, server, status.term, status.held_term, requested_at};
+    }
     if (primary_ == server && status.role == backend_role::primary) {
         add_sample(requested_at, status.received);
     }
--- a/src/core/sessions/group_observer.cpp
+++ b/src/core/sessions/group_observer.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include <algorithm>
+#include <tuple>
 
 namespace jackdawvane {
 
@@ -31,6 +32,7 @@
     poll_servers(now, out);
     query_directory(now, out);
     report_age(now, out);
+    report_proofs(now, out);
     if (state_.directory.known() &&
         now - state_.directory.read_at() > settings_.directory_stale_after &&
         now >= next_other_domain_query_) {
@@ -187,6 +189,37 @@
     }
 }
 
+void group_observer::report_proofs(time_point now, proxy_output& out) {
+    for (const auto& [group, leadership] : state_.leaderships) {
+        const auto& proof = leadership.proof();
+        if (!proof) {
+            continue;
+        }
+        const auto found = reported_proofs_.find(group);
+        if (found != reported_proofs_.end()) {
+            auto& last = found->second.proof;
+            const auto gap = proof->requested_at - last.requested_at;
+            last.requested_at = proof->requested_at;
+            const bool same_terms =
+                std::tie(last.primary, last.term, last.replica_term, last.replica_held_term) ==
+                std::tie(proof->primary, proof->term, proof->replica_term,
+                         proof->replica_held_term);
+            const bool same_replica = last.replica == proof->replica ||
+                                      now - found->second.at < settings_.proof_report_interval;
+            if (same_terms && same_replica && gap < settings_.proof_report_interval) {
+                continue;
+            }
+        }
+        reported_proofs_[group] = {*proof, now};
+        log(out.common, log_component, log_level::info,
+            "proof group=" + group.str() + " primary=" + proof->primary.str() + " term=" +
+                std::to_string(proof->term.value()) + " replica=" + proof->replica.str() +
+                " replica_term=" + std::to_string(proof->replica_term.value()) +
+                " held_term=" + std::to_string(proof->replica_held_term.value()) +
+                " age_ms=" + age_text(now, proof->requested_at));
+    }
+}
+
 void group_observer::poll_servers(time_point now, proxy_output& out) {
     for (const auto& [backend, entry] : state_.directory.entries()) {
         if (observed_.contains(entry.registration.group)) {
