Reset the connection of a call that has been given up

A call that had timed out stayed in the kernel's send buffer after an ordinary close, and arrived once the cut between the VM and the platform had ended. The same holds for writes to the store.

The HTTP client now closes every connection with a reset, as line_stream and peer_outgoing do, so the kernel discards what is not yet delivered. A call that is complete has its answer before the connection is closed, so nothing that counts is cut off.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -267,8 +267,7 @@
     answer_callback_ = nullptr;
     idle_close_callback_ = nullptr;
     timer_.cancel();
-    error_code ignored;
-    socket_.close(ignored);
+    reset_connection(socket_);
 }
 
 } // namespace detail
