Take neither an old primary as proof nor one free replica as the end of a hold

Two statuses counted for more than they show. A server that acts as primary of an earlier term proved its successor: it is not held for a promotion, so that proof would outlast the next one. And one replica without a hold reopened a term that a hold had closed, though the hold may have left that one out, or it may have registered again since, while another replica was promoted.

A proof now comes from a replica only. A closed term opens again when all other registered servers of the group have answered as replicas that are not held, at least promotion_abandoned_after after the hold.

Cost: after an abandoned promotion the term stays closed for a VM as long as a registered replica does not answer.

Tests: GroupLeadership.PrimaryOfAnEarlierTermIsNoProof and GroupLeadership.OneFreeReplicaDoesNotOpenAClosedTerm, both failed before (confirmed() was true). FreeReplicaAfterAGivenUpHoldOpensTheTermAgain assumed that one replica is enough while the other was never seen; it now has both answer.

--- a/include/jackdawvane/sessions/group_leadership.hpp
+++ b/include/jackdawvane/sessions/group_leadership.hpp
@@ -17,7 +17,8 @@
     /// Log positions of the primary are kept this long; longer than any usual staleness bound.
     duration sample_retention{std::chrono::seconds{4}};
     /// A replica that is not held this long after a hold shows that the promotion was abandoned;
-    /// replicas stay held during a promotion.
+    /// Replicas that are all not held this long after a hold show that the promotion was abandoned;
+    /// they stay held during a promotion. One of them alone may have been left out of the hold.
     duration promotion_abandoned_after{std::chrono::seconds{1}};
     /// Minimum interval between two kept log positions.
     duration min_sample_interval{std::chrono::milliseconds{40}};
--- a/src/core/sessions/group_leadership.cpp
+++ b/src/core/sessions/group_leadership.cpp
@@ -33,8 +33,9 @@
             usable_from_ = std::min(usable_from_, now);
         }
     }
-    own = {requested_at, status.term <= term_ && status.held_term <= term_,
-           status.held_term > term_, false};
+    const bool supports =
+        status.role == backend_role::replica && status.term <= term_ && status.held_term <= term_;
+    own = {requested_at, supports, status.held_term > term_, false};
     update_proof();
     if (own.supports_primary && primary_ && primary_ != server) {
         proof_ = {*primary_, term_, server, status.term, status.held_term, requested_at};
@@ -79,6 +80,7 @@
 /// of them are: any other replica could have been promoted.
 void group_leadership::update_proof() {
     auto all_down = time_point::max();
+    auto all_free = time_point::max();
     bool others = false;
     for (const auto& server : members_) {
         if (primary_ == server) {
@@ -87,19 +89,19 @@
         others = true;
         const auto found = evidence_.find(server);
         if (found == evidence_.end()) {
-            all_down = time_point::min();
+            all_down = all_free = time_point::min();
             continue;
         }
         const auto& own = found->second;
-        if (own.supports_primary && closed() &&
-            own.requested_at > closed_since_ + settings_.promotion_abandoned_after) {
-            closed_since_ = time_point::max(); // The promotion was abandoned and the hold ended.
-        }
         if (own.supports_primary) {
             confirmed_at_ = std::max(confirmed_at_, own.requested_at);
         }
+        all_free = own.supports_primary ? std::min(all_free, own.requested_at) : time_point::min();
         all_down = own.refused ? std::min(all_down, own.requested_at) : time_point::min();
     }
+    if (others && closed() && all_free > closed_since_ + settings_.promotion_abandoned_after) {
+        closed_since_ = time_point::max(); // The promotion was abandoned and the hold ended.
+    }
     if (!others) {
         confirmed_at_ = std::max(confirmed_at_, primary_answered_at_);
     } else if (all_down != time_point::max()) {
--- a/tests/core/group_leadership_test.cpp
+++ b/tests/core/group_leadership_test.cpp
@@ -57,10 +57,32 @@
 TEST_F(GroupLeadership, FreeReplicaAfterAGivenUpHoldOpensTheTermAgain) {
     confirm_primary(0);
     leadership.on_hold(at(50), term{1});
+    leadership.on_status(at(1051), at(1051), r2, replica_status(1, point(1, 5)));
     confirm_primary(1051);
     EXPECT_TRUE(leadership.confirmed(at(1060)));
 }
 
+/// Guards against a replica that a hold has left out: it does not show that the hold has ended.
+TEST_F(GroupLeadership, OneFreeReplicaDoesNotOpenAClosedTerm) {
+    confirm_primary(0);
+    leadership.on_hold(at(50), term{1});
+    leadership.on_status(at(1100), at(1100), r2, replica_status(1, point(1, 5), 2));
+    leadership.on_refused(at(1200), r2);
+    leadership.on_status(at(1300), at(1300), p, primary_status(1, point(1, 5)));
+    leadership.on_status(at(1300), at(1300), r1, replica_status(1, point(1, 5)));
+    EXPECT_FALSE(leadership.confirmed(at(1310)));
+}
+
+/// Guards against a primary of an earlier term that is not held and so proves its successor.
+TEST_F(GroupLeadership, PrimaryOfAnEarlierTermIsNoProof) {
+    confirm_primary(0);
+    leadership.on_status(at(100), at(100), r1, primary_status(2, point(1, 5)));
+    leadership.on_status(at(950), at(950), p, primary_status(1, point(1, 5)));
+    EXPECT_FALSE(leadership.confirmed(at(960)));
+    leadership.on_status(at(970), at(970), r2, replica_status(1, point(1, 5), 2));
+    EXPECT_TRUE(leadership.confirmed(at(980)));
+}
+
 // Another VM may still have a proof of the old primary and read data there that the new primary has
 // since changed.
 TEST_F(GroupLeadership, NewPrimaryWaitsForOldProofsToRunOut) {
