Resume a held replica only when no earlier primary can act

A replica without a hold that does not know the new term proves the old primary to VMs that know only that one. After a coordinator that died past the takeover nobody resumed the held replica.

A held replica is now resumed by one rule, whichever coordinator held it: the group's primary answers, and every other server has answered as replica and was not called for promotion since, or has refused a connection since the takeover, or has not been registered for 15 s. If the hold is for a term that has no known primary, evidence counts only from the time when the last call can no longer take effect: 5.2 s after it, or after this VM got the lease. What a hold waits for is logged once with the evidence.

Tests, five in FailoverCoordinator, all failed before: ReplicaStaysHeldUntilTheOldPrimaryHasSteppedDown, ReplicaIsResumedOnceTheOldPrimaryRefusesConnections, LapsedRegistrationOfAnOldPrimaryIsNoEvidenceForAWhile (resume was sent at the takeover), UnfinishedPromotionKeepsItsHoldWhileItsCallMayTakeEffect (resume was sent at once), ReplicaHeldForTheTermThatAnotherCoordinatorEndedIsResumed (resume was never sent).

--- a/include/jackdawvane/sessions/failover_coordinator.hpp
+++ b/include/jackdawvane/sessions/failover_coordinator.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jackdawvane/sessions/coordinator_lease.hpp"
+#include "jackdawvane/sessions/earlier_primaries.hpp"
 #include "jackdawvane/sessions/fleet_state.hpp"
 #include "jackdawvane/sessions/group_observer.hpp"
 
@@ -46,8 +47,10 @@
 ///
 /// A replacement first holds all replicas for the next term, so that none of them can prove the old
 /// primary any longer. It waits until the old primary cannot serve or all proofs have expired, then
-/// promotes the replica with the longest log and resumes the others. A leaving primary steps down
-/// first and a replica receives the rest of its log, so no commit is lost.
+/// promotes the replica with the longest log. A replica that is still held after that stays so
+/// until no earlier primary can act: held for the new term, it does not prove the old primary. A
+/// leaving primary steps down first and a replica receives the rest of its log, so no commit is
+/// lost.
 class failover_coordinator {
   public:
     failover_coordinator(fleet_state& state, group_observer& observer, coordinator_lease& lease,
@@ -104,9 +107,12 @@
     void report_hold(time_point now, const group_id& group, const attempt& current,
                      proxy_output& out) const;
     void resume(time_point now, const group_id& group, const backend_server_id& backend,
-                const char* reason, proxy_output& out);
+                proxy_output& out);
     void end(time_point now, const group_id& group, const char* outcome, proxy_output& out);
     void reconcile_servers(time_point now, proxy_output& out);
+    [[nodiscard]] bool may_resume(time_point now, const group_id& group,
+                                  const backend_server_id& backend, const server_status& status,
+                                  proxy_output& out);
     [[nodiscard]] bool enough_replicas_held(const group_id& group, const attempt& current) const;
     [[nodiscard]] std::optional<backend_server_id> best_candidate(const attempt& current) const;
     bool send(time_point now, const backend_server_id& backend, command_kind kind,
@@ -123,6 +129,15 @@
     std::map<group_id, time_point> next_attempt_at_;  ///< Earliest start of a group's next attempt.
     std::map<backend_server_id, time_point> reconciled_at_;
     std::map<backend_server_id, server_status> last_status_;
+    struct lead {
+        term led;
+        time_point since; ///< When this VM, as lease holder, first knew the primary of the term.
+    };
+    std::map<group_id, lead> leads_;
+    std::map<group_id, time_point> last_call_at_; ///< Last promotion call of this VM.
+    earlier_primaries earlier_primaries_;
+    /// Replicas that stay held, with the server that may still act as earlier primary, as logged.
+    std::map<backend_server_id, backend_server_id> awaited_;
 };
 
 } // namespace jackdawvane
--- a/src/core/sessions/failover_coordinator.cpp
+++ b/src/core/sessions/failover_coordinator.cpp
@@ -22,6 +22,7 @@
 }
 
 void failover_coordinator::tick(time_point now, proxy_output& out) {
+    earlier_primaries_.on_directory(now, state_.directory);
     if (!lease_.held(now)) {
         if (!attempts_.empty()) {
             log(out.common, promotion_log::component, log_level::warning,
@@ -29,6 +30,8 @@
         }
         attempts_.clear();
         no_primary_since_.clear();
+        leads_.clear();
+        awaited_.clear();
         holder_since_ = now;
         return;
     }
@@ -238,6 +241,7 @@
                                       proxy_output& out) {
     if (answer.status) {
         last_status_[answer.backend] = *answer.status;
+        earlier_primaries_.on_status(now, answer.backend, *answer.status);
     }
     for (auto& [group, current] : attempts_) {
         if (!answer.status) {
@@ -367,6 +371,8 @@
     current.candidate = *candidate;
     current.step = phase::promote;
     current.step_until = now + settings_.call_timeout;
+    last_call_at_[group] = now;
+    earlier_primaries_.on_promotion(*candidate);
     out.sessions.emplace_back(promote_server{group, *candidate, state_.self.vm, lease_.fence()});
     log(out.common, promotion_log::component, log_level::info,
         promotion_log::in_group(
@@ -405,13 +411,6 @@
                                                   attempt& current, proxy_output& out) {
     const auto& leadership = state_.leadership(group);
     if (leadership.primary() == current.candidate && leadership.term() > current.old_term) {
-        for (const auto& [server, point] : current.replicas) {
-            const auto status = last_status_.find(server);
-            if (server != current.candidate && status != last_status_.end() &&
-                status->second.held_term > term{}) {
-                resume(now, group, server, "takeover", out);
-            }
-        }
         const auto log_end = last_status_[current.candidate].received;
         log(out.common, promotion_log::component, log_level::info,
             promotion_log::in_group(group,
--- a/tests/core/failover_coordinator_test.cpp
+++ b/tests/core/failover_coordinator_test.cpp
@@ -113,6 +113,30 @@
             other_status.held_term = term{};
         }
     }
+    void register_servers(std::int64_t milliseconds, const std::vector<const char*>& servers) {
+        std::vector<backend_registration> list;
+        for (const auto* name : servers) {
+            list.push_back(registration(name));
+        }
+        state.directory.update(at(milliseconds), at(milliseconds), ++registry_version, list);
+        state.update_group_members();
+    }
+    /// Replaces the silent primary `p` by `r1`, which leads term 2; `r2` stays held.
+    /// @return time of the takeover
+    std::int64_t replace_silent_primary() {
+        run(0, 500);
+        silent.insert("p");
+        std::int64_t now = 500;
+        for (; promotions.empty() && now < 4000; now += 25) {
+            step(now);
+        }
+        coordinator.on_promotion(at(now), {group_id{"g"}, backend_server_id{"r1"}, true, false},
+                                 out);
+        status["r1"] = primary_status(2, status["r1"].received);
+        step(now + 25);
+        EXPECT_EQ(state.leadership(group_id{"g"}).primary(), backend_server_id{"r1"});
+        return now + 25;
+    }
     bool sent(const char* name, command_kind kind) const {
         return std::find(commands.begin(), commands.end(), std::pair{std::string{name}, kind}) !=
                commands.end();
@@ -126,6 +150,7 @@
     failover_coordinator coordinator;
     proxy_output out;
     store_answer fence_answer;
+    std::uint64_t registry_version{1};
     std::map<connection_id, std::string> names;
     std::map<std::string, server_status> status;
     std::set<std::string> down;
@@ -245,6 +270,65 @@
     EXPECT_TRUE(sent("p", command_kind::step_down));
 }
 
+/// Guards against a replica that proves a silent old primary again, because it was resumed first.
+TEST_F(FailoverCoordinator, ReplicaStaysHeldUntilTheOldPrimaryHasSteppedDown) {
+    const auto now = replace_silent_primary();
+    run(now, now + 3000);
+    EXPECT_FALSE(sent("r2", command_kind::resume));
+    silent.clear();
+    run(now + 3000, now + 4000);
+    EXPECT_EQ(status["p"].role, backend_role::replica);
+    EXPECT_TRUE(sent("r2", command_kind::resume));
+}
+
+TEST_F(FailoverCoordinator, ReplicaIsResumedOnceTheOldPrimaryRefusesConnections) {
+    const auto now = replace_silent_primary();
+    run(now, now + 1000);
+    EXPECT_FALSE(sent("r2", command_kind::resume));
+    crash("p", at(now + 1000));
+    run(now + 1000, now + 2000);
+    EXPECT_TRUE(sent("r2", command_kind::resume));
+}
+
+/// Guards against an old primary whose registration has lapsed in a cut and that serves after it.
+TEST_F(FailoverCoordinator, LapsedRegistrationOfAnOldPrimaryIsNoEvidenceForAWhile) {
+    const auto now = replace_silent_primary();
+    register_servers(now, {"r1", "r2"});
+    run(now, now + 8000);
+    EXPECT_FALSE(sent("r2", command_kind::resume));
+    run(now + 8000, now + 16'000);
+    EXPECT_TRUE(sent("r2", command_kind::resume));
+}
+
+/// Guards against a replica that stays held for good when the coordinator dies past the takeover.
+TEST_F(FailoverCoordinator, ReplicaHeldForTheTermThatAnotherCoordinatorEndedIsResumed) {
+    status["r1"] = primary_status(2, point(1, 10));
+    status["r2"] = replica_status(1, point(1, 10), 2);
+    silent.insert("p");
+    run(0, 1000);
+    EXPECT_FALSE(sent("r2", command_kind::resume));
+    silent.clear();
+    status["p"] = replica_status(2, point(1, 10));
+    run(1000, 3000);
+    EXPECT_TRUE(sent("r2", command_kind::resume));
+}
+
+/// Guards against a promotion call of an earlier coordinator that takes effect after the resume.
+TEST_F(FailoverCoordinator, UnfinishedPromotionKeepsItsHoldWhileItsCallMayTakeEffect) {
+    status["r1"].held_term = term{2};
+    status["r2"].held_term = term{2};
+    run(0, 4000);
+    EXPECT_FALSE(sent("r1", command_kind::resume));
+    EXPECT_FALSE(sent("r2", command_kind::resume));
+    silent.insert("r1");
+    run(4000, 8000);
+    EXPECT_FALSE(sent("r2", command_kind::resume)) << "r1 may have been promoted";
+    silent.clear();
+    run(8000, 10'000);
+    EXPECT_TRUE(sent("r1", command_kind::resume));
+    EXPECT_TRUE(sent("r2", command_kind::resume));
+}
+
 // A holder whose lease may have expired must not act, as another VM may hold the lease.
 TEST_F(FailoverCoordinator, StopsWithoutTheLease) {
     run(0, 500);
