--- a/src/core/sessions/group_leadership.cpp
+++ b/src/core/sessions/group_leadership.cpp
@@ -6,6 +6,15 @@
 
 namespace jackdawvane {
 
+namespace {
+
+/// A promotion takes longer than this from the hold of a replica until it takes effect, unless the
+/// old primary can no longer serve. Whoever hears nothing of a replica for longer may have missed
+/// the hold, which the promotion ends.
+constexpr duration shortest_promotion = std::chrono::milliseconds{1100};
+
+} // namespace
+
 void group_leadership::set_members(std::set<backend_server_id> members) {
     members_ = std::move(members);
     const auto removed = [&](const auto& entry) { return !members_.contains(entry.first); };
@@ -76,11 +85,15 @@
     }
 }
 
-/// One replica that is not held is sufficient proof. Replicas that are down are proof only when all
-/// of them are: any other replica could have been promoted.
+/// One replica that is not held is sufficient proof while the previous proof is so recent that no
+/// promotion can have been missed. After a longer gap, every other server must have been asked: the
+/// replica may not have heard of a promotion, and another server may lead by now. Replicas that are
+/// down are proof only when all of them are: any other replica could have been promoted.
 void group_leadership::update_proof() {
     auto all_down = time_point::max();
     auto all_free = time_point::max();
+    auto newest_support = time_point::min();
+    auto oldest_evidence = time_point::max();
     bool others = false;
     for (const auto& server : members_) {
         if (primary_ == server) {
@@ -89,16 +102,26 @@
         others = true;
         const auto found = evidence_.find(server);
         if (found == evidence_.end()) {
-            all_down = all_free = time_point::min();
+            all_down = all_free = oldest_evidence = time_point::min();
             continue;
         }
         const auto& own = found->second;
         if (own.supports_primary) {
-            confirmed_at_ = std::max(confirmed_at_, own.requested_at);
+            newest_support = std::max(newest_support, own.requested_at);
         }
+        const bool not_leading = own.supports_primary || own.refused;
+        oldest_evidence =
+            not_leading ? std::min(oldest_evidence, own.requested_at) : time_point::min();
         all_free = own.supports_primary ? std::min(all_free, own.requested_at) : time_point::min();
         all_down = own.refused ? std::min(all_down, own.requested_at) : time_point::min();
     }
+    const bool nothing_missed =
+        confirmed_at_ == time_point::min() || newest_support - confirmed_at_ <= shortest_promotion;
+    const bool all_asked = oldest_evidence != time_point::min() &&
+                           newest_support - oldest_evidence <= shortest_promotion;
+    if (newest_support != time_point::min() && (nothing_missed || all_asked)) {
+        confirmed_at_ = std::max(confirmed_at_, newest_support);
+    }
     if (others && closed() && all_free > closed_since_ + settings_.promotion_abandoned_after) {
         closed_since_ = time_point::max(); // The promotion was abandoned and the hold ended.
     }
--- a/tests/core/group_leadership_test.cpp
+++ b/tests/core/group_leadership_test.cpp
@@ -83,6 +83,27 @@
     EXPECT_TRUE(leadership.confirmed(at(980)));
 }
 
+/// Guards against two primaries that are proved at once: a promotion ends the hold of a replica
+/// that has not heard of it, and a VM returns from a cut with the old term.
+TEST_F(GroupLeadership, ReplicaThatMissedAPromotionDoesNotProveTheOldPrimaryAgain) {
+    confirm_primary(0);
+    leadership.on_status(at(10), at(10), r2, replica_status(1, point(1, 5)));
+    confirm_primary(7000);
+    EXPECT_FALSE(leadership.confirmed(at(7010)));
+    leadership.on_status(at(7100), at(7100), r2, primary_status(2, point(2, 6)));
+    EXPECT_EQ(leadership.primary(), r2);
+}
+
+TEST_F(GroupLeadership, PrimaryIsProvedAfterAGapOnceEveryOtherServerWasAsked) {
+    confirm_primary(0);
+    confirm_primary(7000);
+    leadership.on_status(at(7100), at(7100), r2, replica_status(1, point(1, 5)));
+    EXPECT_TRUE(leadership.confirmed(at(7110)));
+    confirm_primary(14'000);
+    leadership.on_refused(at(14'100), r2);
+    EXPECT_TRUE(leadership.confirmed(at(14'110)));
+}
+
 // Another VM may still have a proof of the old primary and read data there that the new primary has
 // since changed.
 TEST_F(GroupLeadership, NewPrimaryWaitsForOldProofsToRunOut) {
--- a/tests/core/session_fixture.hpp
+++ b/tests/core/session_fixture.hpp
@@ -109,6 +109,7 @@
         const auto now = at(milliseconds);
         leadership.on_status(now, now, backend_server_id{"p"}, primary_status(1, end));
         leadership.on_status(now, now, backend_server_id{"r1"}, replica_status(1, end));
+        leadership.on_status(now, now, backend_server_id{"r2"}, replica_status(1, end));
         leadership.on_status(now, now, backend_server_id{"p"}, primary_status(1, end));
     }
 
