Accept the answer to a reset within a transaction

What callers would have seen: a transaction that writes after a pause of more than 1.5 s is aborted, or waits for its whole timeout.

Cause: a connection is validated by RESET before such a write, and the answer was expected in the idle state. RESET drops values and prepared names and leaves the transaction as it is.

--- a/src/core/sessions/backend_sessions.cpp
+++ b/src/core/sessions/backend_sessions.cpp
@@ -48,7 +48,7 @@
         backend_command reset;
         reset.kind = command_kind::reset;
         commands.push_back(std::move(reset));
-        expect_reply(now, session, reply_kind::preparation, reply_form::return_to_idle, {});
+        expect_reply(now, session, reply_kind::preparation, reply_form::session_value, {});
         session.values.clear();
         session.prepared.clear();
     }
--- a/tests/core/doubled_reply_test.cpp
+++ b/tests/core/doubled_reply_test.cpp
@@ -216,6 +216,27 @@
 }
 
 /// Guards against a prepared name that runs an earlier statement because its prepare failed.
+/// Guards against a reset within a transaction whose answer is taken for a foreign one.
+TEST(ValidatedConnection, WriteAfterAPauseContinuesItsTransaction) {
+    doubling_server server;
+    server.run(begin_one(), command_kind::status);
+    server.run(write_one(), command_kind::status, transaction_state::open);
+    for (const auto position : {10U, 11U}) {
+        const auto now = std::int64_t{2000} * position;
+        server.fixture.confirm_primary(now, point(1, position));
+        server.fixture.send_statement(now, write_one()); // Validated by a reset after the pause.
+        ASSERT_EQ(server.sent().front().kind, command_kind::reset);
+        server.fixture.reply(now + 1, server.connection,
+                             done(transaction_state::open, point(1, position)));
+        ASSERT_EQ(server.sent().size(), 1U);
+        server.fixture.reply(now + 2, server.connection,
+                             success(transaction_state::open, point(1, position)));
+        const auto answers = server.fixture.answers();
+        ASSERT_EQ(answers.size(), 1U);
+        EXPECT_EQ(answers.front().problem, statement_error::none);
+    }
+}
+
 TEST(DoubledReset, PreparedNamesAreNotUsedAgain) {
     doubling_server server;
     server.run(prepare_one(), command_kind::status);
