Judge a partial line by what is left when its callback runs

What callers would have seen: a healthy connection closed, and a statement that was never written reported as sent, when the last lines of an answer arrive in a later read than its beginning.

Cause: the stream noted a partial line only after all callbacks of a read, so a command that a callback sends at once was judged by the read before.

--- a/src/adapters/line_stream.cpp
+++ b/src/adapters/line_stream.cpp
@@ -121,6 +121,8 @@
         }
         const std::string line{input_, begin, found - begin};
         begin = found + line_end.size();
+        has_partial_line_ =
+            begin < input_.size() && input_.find(line_end, begin) == std::string::npos;
         if (on_line_) {
             on_line_(line);
         }
