--- a/tests/core/failover_coordinator_test.cpp
+++ b/tests/core/failover_coordinator_test.cpp
@@ -329,6 +329,35 @@
     EXPECT_TRUE(sent("r2", command_kind::resume));
 }
 
+/// Guards against a silent replica that is left out of the hold and goes on proving the primary.
+TEST_F(FailoverCoordinator, PromotionWaitsUntilEveryRegisteredReplicaIsHeld) {
+    run(0, 500);
+    silent = {"p", "r2"};
+    run(500, 7000);
+    EXPECT_TRUE(promotions.empty());
+    EXPECT_FALSE(sent("r1", command_kind::resume));
+    register_servers(7000, {"p", "r1"});
+    run(7000, 12'000);
+    EXPECT_FALSE(promotions.empty());
+}
+
+/// Guards against a replica that registers during a promotion and proves the old primary.
+TEST_F(FailoverCoordinator, ReplicaThatRegistersDuringAPromotionIsHeld) {
+    run(0, 500);
+    silent = {"p"};
+    std::int64_t now = 500;
+    for (; !sent("r1", command_kind::hold) && now < 3000; now += 25) {
+        step(now);
+    }
+    status["r3"] = replica_status(1, point(1, 9));
+    register_servers(now, {"p", "r1", "r2", "r3"});
+    for (; promotions.empty() && now < 6000; now += 25) {
+        step(now);
+    }
+    EXPECT_EQ(promotions.size(), 1U);
+    EXPECT_TRUE(sent("r3", command_kind::hold));
+}
+
 // A holder whose lease may have expired must not act, as another VM may hold the lease.
 TEST_F(FailoverCoordinator, StopsWithoutTheLease) {
     run(0, 500);
