--- a/src/core/sessions/group_leadership.cpp
+++ b/src/core/sessions/group_leadership.cpp
@@ -115,11 +115,12 @@
         all_free = own.supports_primary ? std::min(all_free, own.requested_at) : time_point::min();
         all_down = own.refused ? std::min(all_down, own.requested_at) : time_point::min();
     }
-    const bool nothing_missed =
-        confirmed_at_ == time_point::min() || newest_support - confirmed_at_ <= shortest_promotion;
-    const bool all_asked = oldest_evidence != time_point::min() &&
+    const bool supported = newest_support != time_point::min();
+    const bool nothing_missed = !supported || confirmed_at_ == time_point::min() ||
+                                newest_support - confirmed_at_ <= shortest_promotion;
+    const bool all_asked = supported && oldest_evidence != time_point::min() &&
                            newest_support - oldest_evidence <= shortest_promotion;
-    if (newest_support != time_point::min() && (nothing_missed || all_asked)) {
+    if (supported && (nothing_missed || all_asked)) {
         confirmed_at_ = std::max(confirmed_at_, newest_support);
     }
     if (others && closed() && all_free > closed_since_ + settings_.promotion_abandoned_after) {
