--- a/include/jackdawvane/sessions/connection_owner.hpp
+++ b/include/jackdawvane/sessions/connection_owner.hpp
@@ -17,6 +17,8 @@
     duration queue_timeout{std::chrono::milliseconds{250}};
     /// A lease without a statement for longer than this expires; its entry VM is considered gone.
     duration lease_timeout{std::chrono::seconds{8}};
+    /// The newest service time has the weight 1 / `service_time_divisor` in the moving average.
+    int service_time_divisor{8};
 };
 
 /// @brief Result for the entry VM that sent a statement.
@@ -72,6 +74,7 @@
     struct running {
         lease_key key;
         attempt_id attempt;
+        time_point started{};
     };
 
     void start(time_point now, queued next, connection_id connection, proxy_output& out);
@@ -79,6 +82,9 @@
                proxy_output& out);
     void expire(time_point now, fair_queue<queued>& queue);
     void report_not_run(const queued& entry, statement_error problem);
+    void report(const vm_id& entry, attempt_result result);
+    void measure(const backend_server_id& backend, duration service_time);
+    [[nodiscard]] server_load load_of(const backend_server_id& backend) const;
 
     fleet_state& state_;
     backend_sessions& backends_;
@@ -88,6 +94,7 @@
     std::map<backend_server_id, fair_queue<queued>> queues_;
     std::map<lease_key, lease> leases_;
     std::map<attempt_id, running> running_;
+    std::map<backend_server_id, duration> service_times_; ///< Moving averages.
     std::vector<owner_result> results_;
     time_point backlog_until_{}; ///< Earlier arrivals may have waited during a pause.
 };
--- a/include/jackdawvane/sessions/messages.hpp
+++ b/include/jackdawvane/sessions/messages.hpp
@@ -26,6 +26,9 @@
 /// @brief Number of one attempt to run a statement on a connection to a backend server.
 using attempt_id = basic_number<struct attempt_id_tag>;
 
+/// @brief Priority of statements whose sender states none; 0 is the highest.
+inline constexpr std::uint32_t default_priority = 1;
+
 /// @brief Position in the replication log of a group.
 struct log_point {
     jackdawvane::term term;
@@ -253,6 +256,9 @@
     std::optional<backend_command> begin; ///< Opens a transaction before the statement.
     backend_command main;
     duration remaining{0}; ///< Time after arrival within which the statement may start.
+    std::uint32_t priority{default_priority}; ///< Of the route; 0 is the highest.
+    std::optional<duration> target; ///< Time after arrival until the latency objective, if known.
+    bool alternative{false};        ///< The entry VM can send it to another backend server.
 
     static constexpr auto fields() {
         using self = forwarded_statement;
@@ -266,8 +272,26 @@
                           field("continues", &self::continues_transaction),
                           field("begin", &self::begin),
                           field("main", &self::main),
-                          field("remaining_us", &self::remaining)};
+                          field("remaining_us", &self::remaining),
+                          field("priority", &self::priority),
+                          field("target_us", &self::target),
+                          field("alternative", &self::alternative)};
+    }
+};
+
+/// @brief Load of a backend server as the owner of its connections sees it.
+struct server_load {
+    std::uint32_t waiting{0}; ///< Statements in the owner's queue for the server.
+    std::uint32_t running{0}; ///< Statements in progress at the server, of all VMs.
+    std::uint32_t slots{1};   ///< Statements that the server runs at the same time.
+    duration service_time{0}; ///< Mean time of a statement at the server; 0 if none was measured.
+
+    static constexpr auto fields() {
+        using self = server_load;
+        return std::tuple{field("waiting", &self::waiting), field("running", &self::running),
+                          field("slots", &self::slots), field("service_us", &self::service_time)};
     }
+    friend bool operator==(const server_load&, const server_load&) = default;
 };
 
 /// @brief Result of a statement from the VM that owns the connection.
@@ -277,16 +301,17 @@
     connection_id lease;
     backend_server_id backend;
     statement_reply reply;
-    bool answered{false};    ///< Whether the backend server, or the owner for it, replied.
-    bool sent{false};        ///< The statement may have reached the backend server.
-    bool unreachable{false}; ///< The VM cannot connect to the backend server.
+    bool answered{false};            ///< Whether the backend server, or the owner for it, replied.
+    bool sent{false};                ///< The statement may have reached the backend server.
+    bool unreachable{false};         ///< The VM cannot connect to the backend server.
+    std::optional<server_load> load; ///< Absent if the sender does not measure it.
 
     static constexpr auto fields() {
         using self = attempt_result;
-        return std::tuple{field("attempt", &self::attempt),        field("lease", &self::lease),
-                          field("backend", &self::backend),        field("reply", &self::reply),
-                          field("answered", &self::answered),      field("sent", &self::sent),
-                          field("unreachable", &self::unreachable)};
+        return std::tuple{field("attempt", &self::attempt),         field("lease", &self::lease),
+                          field("backend", &self::backend),         field("reply", &self::reply),
+                          field("answered", &self::answered),       field("sent", &self::sent),
+                          field("unreachable", &self::unreachable), field("load", &self::load)};
     }
 };
 
--- a/include/jackdawvane/sessions/session_proxy.hpp
+++ b/include/jackdawvane/sessions/session_proxy.hpp
@@ -111,8 +111,7 @@
     void receive(time_point now, const peer_received& from, const Message& message,
                  proxy_output& out);
 
-    [[nodiscard]] admission admit(time_point now, session_id session,
-                                  const organisation_id& organisation, time_point deadline,
+    [[nodiscard]] admission admit(time_point now, const admission_request& request,
                                   actions& out) override;
     void withdraw(session_id session) override;
 
--- a/include/jackdawvane/sessions/statement_executor.hpp
+++ b/include/jackdawvane/sessions/statement_executor.hpp
@@ -27,8 +27,8 @@
     admission_service& operator=(admission_service&&) = delete;
     virtual ~admission_service() = default;
 
-    [[nodiscard]] virtual admission admit(time_point now, session_id session,
-                                          const organisation_id& organisation, time_point deadline,
+    /// @param request its handle is the number of the session
+    [[nodiscard]] virtual admission admit(time_point now, const admission_request& request,
                                           actions& out) = 0;
     virtual void withdraw(session_id session) = 0;
 };
--- a/src/core/sessions/backend_session_acquire.cpp
+++ b/src/core/sessions/backend_session_acquire.cpp
@@ -65,6 +65,11 @@
     return found != loads_.end() && now < found->second.failed_until;
 }
 
+std::uint32_t backend_sessions::running(const backend_server_id& backend) const {
+    const auto found = loads_.find(backend);
+    return found == loads_.end() ? 0 : found->second.running;
+}
+
 bool backend_sessions::lags(time_point now, const backend_server_id& backend,
                             const log_point& required) const {
     const auto found = loads_.find(backend);
--- a/src/core/sessions/connection_owner.cpp
+++ b/src/core/sessions/connection_owner.cpp
@@ -45,7 +45,7 @@
         lost.attempt = statement.attempt;
         lost.lease = statement.lease;
         lost.backend = statement.backend;
-        results_.push_back({entry, std::move(lost)});
+        report(entry, std::move(lost));
         return;
     }
     if (now < backlog_until_) {
@@ -106,7 +106,7 @@
                              proxy_output& out) {
     const auto attempt = attempt_ids_.next();
     auto& statement = next.statement;
-    running_[attempt] = {{next.entry, statement.lease}, statement.attempt};
+    running_[attempt] = {{next.entry, statement.lease}, statement.attempt, now};
     auto needs = needs_of(statement);
     needs.deadline = next.deadline;
     backends_.send(now, connection, attempt, needs, std::move(statement.begin),
@@ -127,7 +127,31 @@
     result.reply.problem = problem;
     result.answered = problem != statement_error::none;
     result.unreachable = problem == statement_error::none;
-    results_.push_back({entry.entry, std::move(result)});
+    report(entry.entry, std::move(result));
+}
+
+void connection_owner::report(const vm_id& entry, attempt_result result) {
+    result.load = load_of(result.backend);
+    results_.push_back({entry, std::move(result)});
+}
+
+void connection_owner::measure(const backend_server_id& backend, duration service_time) {
+    const auto [mean, first] = service_times_.try_emplace(backend, service_time);
+    if (!first) {
+        mean->second += (service_time - mean->second) / settings_.service_time_divisor;
+    }
+}
+
+server_load connection_owner::load_of(const backend_server_id& backend) const {
+    server_load load;
+    const auto queue = queues_.find(backend);
+    load.waiting = queue == queues_.end() ? 0 : static_cast<std::uint32_t>(queue->second.size());
+    load.running = backends_.running(backend);
+    const auto* entry = state_.directory.find(backend);
+    load.slots = entry == nullptr ? 1 : entry->registration.slots;
+    const auto measured = service_times_.find(backend);
+    load.service_time = measured == service_times_.end() ? duration{0} : measured->second;
+    return load;
 }
 
 void connection_owner::release(time_point now, const vm_id& entry, const lease_release& release,
@@ -170,10 +194,12 @@
         running_.erase(found);
         if (!result.answered) {
             leases_.erase(started.key);
+        } else if (result.sent && result.reply.problem == statement_error::none) {
+            measure(result.backend, now - started.started);
         }
         result.attempt = started.attempt;
         result.lease = started.key.lease;
-        results_.push_back({started.key.entry, std::move(result)});
+        report(started.key.entry, std::move(result));
     }
     for (auto& [backend, queue] : queues_) {
         if (!queue.empty()) {
@@ -198,6 +224,8 @@
         const bool gone = it->second.empty() && state_.directory.find(it->first) == nullptr;
         it = gone ? queues_.erase(it) : std::next(it);
     }
+    std::erase_if(service_times_,
+                  [&](const auto& each) { return state_.directory.find(each.first) == nullptr; });
 }
 
 bool connection_owner::busy() const {
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -262,14 +262,11 @@
     out.common.emplace_back(stopped{});
 }
 
-admission session_proxy::admit(time_point now, session_id session,
-                               const organisation_id& organisation, time_point deadline,
-                               actions& out) {
-    const request_id handle{session.value()};
-    if (!state_.configuration->organisations.contains(organisation)) {
-        return {handle, admission_state::admitted, {error_kind::none, {}, {}}};
+admission session_proxy::admit(time_point now, const admission_request& request, actions& out) {
+    if (!state_.configuration->organisations.contains(request.organisation)) {
+        return {request.handle, admission_state::admitted, {error_kind::none, {}, {}}};
     }
-    return limiter_.admit(now, organisation, handle, deadline, out);
+    return limiter_.admit(now, request.organisation, request.handle, request.deadline, out);
 }
 
 void session_proxy::withdraw(session_id session) {
--- a/src/core/sessions/statement_executor.cpp
+++ b/src/core/sessions/statement_executor.cpp
@@ -282,8 +282,10 @@
                                   row.consistency == consistency_mode::primary ||
                                   (session.work->statement.kind == statement_kind::begin &&
                                    !session.work->statement.read_only);
-    const auto decision =
-        limits_.admit(now, session.id, session.organisation, session.work->deadline, out.common);
+    const admission_request request{request_id{session.id.value()}, session.organisation,
+                                    row.priority, session.work->deadline,
+                                    now + from_milliseconds(row.target_latency_ms)};
+    const auto decision = limits_.admit(now, request, out.common);
     if (decision.state != admission_state::pending) {
         on_admission(now, decision, out);
     }
--- a/src/core/sessions/statement_placement.cpp
+++ b/src/core/sessions/statement_placement.cpp
@@ -254,6 +254,10 @@
     forward.writes = work.writes;
     forward.continues_transaction = session.transaction.opened;
     forward.remaining = work.deadline - now;
+    const auto& row = *routes_.at(session.id).row;
+    forward.priority = row.priority;
+    forward.target = work.received + from_milliseconds(row.target_latency_ms) - now;
+    forward.alternative = !work.needs_primary && !session.transaction.opened;
     forward.main.id = work.statement.id;
     if (work.statement.kind == statement_kind::execute) {
         const auto found = session.prepared.find(work.statement.name);
--- a/tests/core/connection_owner_test.cpp
+++ b/tests/core/connection_owner_test.cpp
@@ -86,6 +86,32 @@
     EXPECT_TRUE(fixture.owner.take_results().empty());
 }
 
+// Guards against entry VMs that choose a server without knowing the load of the other VMs.
+TEST(ConnectionOwner, ReportsTheLoadOfTheServerWithEachResult) {
+    session_fixture fixture;
+    forwarded_statement statement;
+    statement.backend = backend_server_id{"r1"};
+    statement.organisation = organisation_id{"o"};
+    statement.remaining = std::chrono::seconds{1};
+    statement.lease = connection_id{1000};
+    fixture.owner.submit(at(1), vm_id{"b"}, statement, fixture.out);
+    fixture.accept(2);
+    const auto sent = fixture.commands();
+    ASSERT_EQ(sent.size(), 1U);
+    statement.lease = connection_id{1001};
+    fixture.owner.submit(at(3), vm_id{"c"}, statement, fixture.out);
+    fixture.backends.on_reply(
+        at(13), {sent.front().first, done(transaction_state::idle, point(1, 10)), {}}, fixture.out);
+    fixture.owner.settle(at(13), fixture.out);
+    const auto results = fixture.owner.take_results();
+    ASSERT_EQ(results.size(), 1U);
+    ASSERT_TRUE(results.front().result.load);
+    const auto& load = *results.front().result.load;
+    EXPECT_EQ(load.running, 1U);
+    EXPECT_EQ(load.waiting, 0U);
+    EXPECT_EQ(load.service_time, std::chrono::milliseconds{12});
+}
+
 // Guards against a statement that is delayed by a network partition and runs when the partition
 // ends, seconds after its entry VM has retried it elsewhere.
 TEST(ConnectionOwner, EndsConnectionsWhoseStatementIsGivenUp) {
--- a/tests/core/session_fixture.hpp
+++ b/tests/core/session_fixture.hpp
@@ -76,9 +76,9 @@
 /// @brief Admits every request unless `state` is changed.
 class admit_all final : public admission_service {
   public:
-    admission admit(time_point /*now*/, session_id session, const organisation_id& /*name*/,
-                    time_point /*deadline*/, actions& /*out*/) override {
-        return {request_id{session.value()}, state, {error_kind::rate_exceeded, {}, {}}};
+    admission admit(time_point /*now*/, const admission_request& request,
+                    actions& /*out*/) override {
+        return {request.handle, state, {error_kind::rate_exceeded, {}, {}}};
     }
     void withdraw(session_id /*session*/) override {}
 
