Serve evacuations, allowed regions and warm-up rates

Change: evacuation_list, region_policy and warm_up_limiter decide without I/O and clock. Evacuations are read with the registered servers, where evacuation_timeout_ms is set, and travel in observation.reply with version and age. Reads avoid evacuated domains at once, primaries are moved outside, and from 1 s before the timeout nothing is sent there: open transactions are aborted, and owners refuse what other VMs send. Statements run only at servers in the allowed regions and go only to VMs that may have their text. What no server can run is refused at once as not run. Owners limit the requests to servers that warm up. Invalid values of the configuration are one log line each. A read whose other servers were all busy is tried again although an excluded server was never tried.

--- a/include/jackdawvane/configuration/configuration.hpp
+++ b/include/jackdawvane/configuration/configuration.hpp
@@ -61,9 +61,10 @@
     fencing_mode fencing{fencing_mode::majority};
     isolation_mode keys_when_isolated{isolation_mode::serve};
     consistency_mode consistency{consistency_mode::read_your_writes};
-    std::uint32_t target_latency_ms{1000};   ///< Latency objective of an operation.
-    std::uint32_t priority{1};               ///< 0 is the highest, for queued statements.
-    std::uint32_t transaction_idle_ms{3000}; ///< An idle transaction is rolled back after this.
+    std::uint32_t target_latency_ms{1000};    ///< Latency objective of an operation.
+    std::uint32_t priority{1};                ///< 0 is the highest, for queued statements.
+    std::uint32_t transaction_idle_ms{3000};  ///< An idle transaction is rolled back after this.
+    std::vector<region_id> allowed_regions{}; ///< Regions that may run requests; empty allows all.
 
     static constexpr auto fields() {
         return std::tuple{field("pool", &route_row::pool),
@@ -77,7 +78,8 @@
                           field("consistency", &route_row::consistency),
                           field("target_latency_ms", &route_row::target_latency_ms),
                           field("priority", &route_row::priority),
-                          field("transaction_idle_ms", &route_row::transaction_idle_ms)};
+                          field("transaction_idle_ms", &route_row::transaction_idle_ms),
+                          field("allowed_regions", &route_row::allowed_regions)};
     }
 };
 
@@ -114,11 +116,13 @@
     /// registers itself and has no row.
     std::uint32_t connection_limit{20};
     std::uint32_t sync_replicas{0}; ///< Replicas that must have a commit before it is acknowledged.
+    double warm_up_rate{0}; ///< Requests per second to a server that is warming up; 0: no limit.
 
     static constexpr auto fields() {
         return std::tuple{field("backend_servers", &group_row::backend_servers),
                           field("connection_limit", &group_row::connection_limit),
-                          field("sync_replicas", &group_row::sync_replicas)};
+                          field("sync_replicas", &group_row::sync_replicas),
+                          field("warm_up_rate", &group_row::warm_up_rate)};
     }
 };
 
@@ -134,11 +138,13 @@
     double rate{0};          ///< Requests per second over the whole fleet.
     double burst{0};         ///< Maximum burst of requests above the rate.
     std::uint32_t weight{1}; ///< Share of a backend server's slots under contention.
+    std::vector<region_id> allowed_regions{}; ///< Regions that may run requests; empty allows all.
 
     static constexpr auto fields() {
         return std::tuple{field("rate", &organisation_row::rate),
                           field("burst", &organisation_row::burst),
-                          field("weight", &organisation_row::weight)};
+                          field("weight", &organisation_row::weight),
+                          field("allowed_regions", &organisation_row::allowed_regions)};
     }
 };
 
--- a/include/jackdawvane/node/peer.hpp
+++ b/include/jackdawvane/node/peer.hpp
@@ -9,6 +9,7 @@
 #include "jackdawvane/node/store.hpp"
 #include "jackdawvane/sessions/messages.hpp"
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -362,7 +363,9 @@
     std::uint64_t directory_version{0};      ///< Version of the last change.
     std::uint64_t directory_read_version{0}; ///< Version that was last read.
     duration directory_age{0};
-    std::vector<backend_registration> directory; ///< Empty when the requester has this version.
+    std::vector<backend_registration> directory;  ///< Empty when the requester has this version.
+    std::optional<evacuated_domains> evacuations; ///< Absent if the sender knows no list.
+    duration evacuations_age{0};
 
     static constexpr auto fields() {
         using self = observation_reply;
@@ -371,7 +374,9 @@
                           field("directory_version", &self::directory_version),
                           field("directory_read_version", &self::directory_read_version),
                           field("directory_age_us", &self::directory_age),
-                          field("directory", &self::directory)};
+                          field("directory", &self::directory),
+                          field("evacuations", &self::evacuations),
+                          field("evacuations_age_us", &self::evacuations_age)};
     }
 };
 
--- a/include/jackdawvane/node/store.hpp
+++ b/include/jackdawvane/node/store.hpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -158,6 +159,17 @@
          {store_status::unavailable, "unavailable"}}};
 };
 
+/// @brief Failure domains that the operator has evacuated.
+struct evacuated_domains {
+    std::uint64_t version{0}; ///< Version of the store that was read.
+    std::vector<failure_domain_id> domains;
+
+    static constexpr auto fields() {
+        return std::tuple{field("version", &evacuated_domains::version),
+                          field("domains", &evacuated_domains::domains)};
+    }
+};
+
 /// @brief Answer of the store.
 struct store_answer {
     request_id id;
@@ -168,13 +180,15 @@
     std::vector<backend_registration> backends{}; ///< `list_backends`: the complete list.
     /// Newest era of the store that any answer has shown; also set without an answer.
     std::uint64_t era{0};
+    /// `list_backends`: absent if evacuations are not read or their read failed.
+    std::optional<evacuated_domains> evacuations{};
 
     static constexpr auto fields() {
         return std::tuple{
             field("id", &store_answer::id),       field("status", &store_answer::status),
             field("value", &store_answer::value), field("version", &store_answer::version),
             field("vms", &store_answer::vms),     field("backends", &store_answer::backends),
-            field("era", &store_answer::era)};
+            field("era", &store_answer::era),     field("evacuations", &store_answer::evacuations)};
     }
 };
 
--- a/include/jackdawvane/sessions/backend_directory.hpp
+++ b/include/jackdawvane/sessions/backend_directory.hpp
@@ -29,6 +29,8 @@
         /// Time of the last read that listed it as not leaving; `min()` when there was none.
         time_point last_listed_staying{time_point::min()};
         time_point absent_since{no_deadline}; ///< Missing after an outage of the registry.
+        /// End of its warm-up: the remaining time counts from the read that first listed it.
+        time_point warm_from{time_point::min()};
     };
 
     explicit backend_directory(directory_settings settings = {}) : settings_{settings} {}
--- a/include/jackdawvane/sessions/connection_owner.hpp
+++ b/include/jackdawvane/sessions/connection_owner.hpp
@@ -2,6 +2,7 @@
 
 #include "jackdawvane/limits/fair_queue.hpp"
 #include "jackdawvane/sessions/backend_sessions.hpp"
+#include "jackdawvane/sessions/warm_up_limiter.hpp"
 
 #include <map>
 #include <vector>
@@ -19,6 +20,7 @@
     duration lease_timeout{std::chrono::seconds{8}};
     /// The newest service time has the weight 1 / `service_time_divisor` in the moving average.
     int service_time_divisor{8};
+    warm_up_settings warm_up;
 };
 
 /// @brief Result for the entry VM that sent a statement.
@@ -81,6 +83,12 @@
     void drain(time_point now, const backend_server_id& backend, fair_queue<queued>& queue,
                proxy_output& out);
     void expire(time_point now, fair_queue<queued>& queue);
+    /// Whether the server of @a statement is warming up and has no token for it.
+    [[nodiscard]] bool warm_up_refuses(time_point now, const forwarded_statement& statement);
+    /// Returns @a next as not run for want of such a token.
+    void refuse_warming_up(time_point now, const queued& next, proxy_output& out);
+    /// Returns @a next as not run, because the domain of its server is evacuated.
+    void refuse_evacuated(time_point now, const queued& next, proxy_output& out);
     void report_not_run(const queued& entry, statement_error problem);
     void report(const vm_id& entry, attempt_result result);
     void measure(const backend_server_id& backend, duration service_time);
@@ -89,6 +97,9 @@
     fleet_state& state_;
     backend_sessions& backends_;
     owner_settings settings_;
+    warm_up_limiter warm_up_;
+    /// Log lines about refusals of warming servers: the last one of each.
+    std::map<backend_server_id, time_point> warm_up_reported_at_;
     id_sequence<request_id> queue_ids_;
     id_sequence<attempt_id> attempt_ids_;
     std::map<backend_server_id, fair_queue<queued>> queues_;
--- a/include/jackdawvane/sessions/failover_coordinator.hpp
+++ b/include/jackdawvane/sessions/failover_coordinator.hpp
@@ -89,6 +89,15 @@
     [[nodiscard]] duration primary_silent_for(const group_leadership& leadership) const;
     [[nodiscard]] std::optional<std::string>
     replacement_reason(time_point now, const group_id& group, bool& planned);
+    /// Why the server of @a entry must not stay primary although it serves; null if it may.
+    [[nodiscard]] const char* reason_to_move(const backend_directory::entry& entry) const;
+    /// Whether another server of the group than @a primary can become primary and stay it.
+    [[nodiscard]] bool has_successor(const group_id& group, const backend_server_id& primary) const;
+    [[nodiscard]] bool is_evacuated(const backend_server_id& server) const;
+    /// Whether @a server is evacuated while another server of the group can be primary.
+    [[nodiscard]] bool is_passed_over(const group_id& group, const backend_server_id& server) const;
+    /// Whether @a server is registered, not leaving, and outside all evacuated domains.
+    [[nodiscard]] bool may_stay_primary(const backend_server_id& server) const;
     void start(time_point now, const group_id& group, std::string reason, bool planned,
                proxy_output& out);
     void advance(time_point now, const group_id& group, attempt& current, proxy_output& out);
--- a/include/jackdawvane/sessions/fleet_state.hpp
+++ b/include/jackdawvane/sessions/fleet_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jackdawvane/configuration/configuration.hpp"
+#include "jackdawvane/routing/evacuation_list.hpp"
 #include "jackdawvane/sessions/backend_directory.hpp"
 #include "jackdawvane/sessions/group_leadership.hpp"
 
@@ -19,6 +20,7 @@
     std::uint64_t fleet_version{0}; ///< Increases with each change of `live`.
     std::shared_ptr<const configuration_document> configuration;
     backend_directory directory;
+    evacuation_list evacuations;
     std::map<group_id, group_leadership> leaderships;
     std::map<failure_domain_id, region_id> regions; ///< Region of each failure domain.
     /// Groups whose leadership evidence statements wait for or will need soon; the observer queries
@@ -41,6 +43,12 @@
         return found == regions.end() ? region_id{} : found->second;
     }
 
+    /// @brief Whether no request may be sent to @a backend, because its domain is evacuated.
+    [[nodiscard]] bool evacuation_blocks(time_point now, const backend_server_id& backend) const {
+        const auto* entry = directory.find(backend);
+        return entry != nullptr && evacuations.blocks(now, entry->registration.domain);
+    }
+
     /// @brief Entry of @a vm, or null when it is not live.
     [[nodiscard]] const vm_entry* find_vm(const vm_id& vm) const {
         const auto found = std::lower_bound(
--- a/include/jackdawvane/sessions/group_observer.hpp
+++ b/include/jackdawvane/sessions/group_observer.hpp
@@ -158,6 +158,11 @@
     void apply_list(time_point now, time_point read_at, std::uint64_t version,
                     const std::vector<backend_registration>& list, const std::string& source,
                     proxy_output& out);
+    /// Applies a list of evacuated domains that was received from @a source, and logs its changes.
+    void apply_evacuations(time_point now, time_point read_at, const evacuated_domains& list,
+                           const std::string& source, proxy_output& out);
+    /// Reports the number of evacuated domains and the age of their list as metrics.
+    void report_evacuations(time_point now, proxy_output& out) const;
     /// Logs a read of the registry that failed or got no answer.
     void report_failed_read(time_point now, proxy_output& out) const;
     /// Reports the age of the list as a metric, and logs when it becomes old or current again.
--- a/include/jackdawvane/sessions/session_proxy.hpp
+++ b/include/jackdawvane/sessions/session_proxy.hpp
@@ -10,6 +10,8 @@
 #include "jackdawvane/sessions/vm_registration.hpp"
 
 #include <map>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace jackdawvane {
@@ -21,6 +23,7 @@
     std::vector<endpoint> seeds; ///< Peer endpoints to contact when the store does not answer.
     std::map<failure_domain_id, region_id> regions;
     std::uint64_t random_seed{1};
+    evacuation_settings evacuations;
     /// VMs of each failure domain that hold a share of an organisation's rate.
     std::uint32_t holders_per_domain{3};
     /// VMs of all failure domains that hold a share of an organisation's rate.
@@ -119,6 +122,7 @@
     void run_due(time_point now, proxy_output& out);
     void settle(time_point now, proxy_output& out);
     void apply_configuration(time_point now, proxy_output& out);
+    void report_unknown_regions(proxy_output& out);
     void apply_membership(time_point now, proxy_output& out);
     void settle_statements(time_point now, proxy_output& out);
     void accept_result(time_point now, const vm_id& from, const attempt_result& result,
@@ -144,6 +148,7 @@
     statement_forwarder forwarder_;
     statement_executor executor_;
     revision applied_revision_;
+    std::set<std::string> reported_regions_; ///< Problems of the configuration, as logged.
     std::uint64_t fleet_version_{0};
     std::size_t coordinator_rank_{0};
     bool reported_ready_{false};
--- a/include/jackdawvane/sessions/statement_executor.hpp
+++ b/include/jackdawvane/sessions/statement_executor.hpp
@@ -2,6 +2,7 @@
 
 #include "jackdawvane/foundation/id_sequence.hpp"
 #include "jackdawvane/limits/admission.hpp"
+#include "jackdawvane/routing/region_policy.hpp"
 #include "jackdawvane/sessions/backend_chooser.hpp"
 #include "jackdawvane/sessions/caller_session.hpp"
 #include "jackdawvane/sessions/fleet_state.hpp"
@@ -60,6 +61,9 @@
     duration confirmation_limit{std::chrono::milliseconds{700}};
     /// Wait that a refusal suggests to the caller when the rate limiter gives none.
     duration default_retry_after{std::chrono::milliseconds{200}};
+    /// As above, when the operator's requests exclude every server that could run the statement.
+    /// Such a state lasts for seconds at least.
+    duration unservable_retry_after{std::chrono::milliseconds{1000}};
     duration same_domain_round_trip{std::chrono::milliseconds{1}};
     duration same_region_round_trip{std::chrono::milliseconds{2}};
     duration cross_region_round_trip{std::chrono::milliseconds{17}};
@@ -130,6 +134,7 @@
         std::shared_ptr<const configuration_document> configuration;
         const route_row* row{nullptr};
         group_id group;
+        region_policy regions;
     };
     /// Session that waits for the first configuration. Holds the digest of the key, not the key.
     struct pending_session {
@@ -181,6 +186,18 @@
                       proxy_output& out);
     [[nodiscard]] duration distance_to(const backend_registration& backend) const;
 
+    // Requests that no backend server can run, and evacuated domains.
+    [[nodiscard]] bool may_run_at(const caller_session& session,
+                                  const backend_directory::entry& backend) const;
+    [[nodiscard]] bool may_read_at(time_point now, const caller_session& session,
+                                   const backend_directory::entry& backend) const;
+    [[nodiscard]] std::optional<std::string> unservable_reason(time_point now,
+                                                               const caller_session& session);
+    [[nodiscard]] bool refuse_if_unservable(time_point now, caller_session& session,
+                                            proxy_output& out);
+    [[nodiscard]] bool abort_if_evacuated(time_point now, caller_session& session,
+                                          proxy_output& out);
+
     // Results.
     void handle_result(time_point now, const attempt_result& result, proxy_output& out);
     void handle_reply(time_point now, caller_session& session, const attempt_result& result,
--- a/include/jackdawvane/sessions/statement_forwarder.hpp
+++ b/include/jackdawvane/sessions/statement_forwarder.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jackdawvane/routing/region_policy.hpp"
 #include "jackdawvane/sessions/connection_owner.hpp"
 
 #include <map>
@@ -33,9 +34,10 @@
 
     /// @brief Whether statements may be sent to @a backend now, that is, it is not in backoff.
     [[nodiscard]] bool open(time_point now, const backend_server_id& backend) const;
-    /// @brief Creates a lease of a connection to @a backend; nothing when no VM can reach it.
-    [[nodiscard]] std::optional<connection_id> acquire(time_point now,
-                                                       const backend_server_id& backend);
+    /// @brief Creates a lease of a connection to @a backend at a VM that may have the text of the
+    /// statements; nothing when none of them can reach it.
+    [[nodiscard]] std::optional<connection_id>
+    acquire(time_point now, const backend_server_id& backend, const region_policy& regions = {});
     void send(time_point now, forwarded_statement statement, proxy_output& out);
     /// @brief Releases a lease; rolls back an open transaction first.
     void release(time_point now, connection_id lease, bool in_transaction, proxy_output& out);
@@ -79,7 +81,8 @@
         time_point busy_until{time_point::min()};
     };
 
-    [[nodiscard]] std::optional<vm_id> owner_for(time_point now, const backend_server_id& backend);
+    [[nodiscard]] std::optional<vm_id> owner_for(time_point now, const backend_server_id& backend,
+                                                 const region_policy& regions);
     [[nodiscard]] std::optional<vm_id> default_owner(const backend_server_id& backend,
                                                      const backend_directory::entry& entry) const;
     [[nodiscard]] location location_of(const backend_directory::entry& backend) const;
--- a/src/core/sessions/backend_directory.cpp
+++ b/src/core/sessions/backend_directory.cpp
@@ -23,6 +23,11 @@
     for (const auto& registration : registrations) {
         present.insert(registration.backend);
         auto& own = entries_[registration.backend];
+        if (own.registration != registration && registration.warm_up_remaining > duration{0}) {
+            own.warm_from = read_at + registration.warm_up_remaining;
+        } else if (registration.warm_up_remaining == duration{0}) {
+            own.warm_from = time_point::min();
+        }
         changed = changed || own.registration != registration;
         own.registration = registration;
         own.absent_since = no_deadline;
--- a/src/core/sessions/connection_owner.cpp
+++ b/src/core/sessions/connection_owner.cpp
@@ -24,7 +24,7 @@
 
 connection_owner::connection_owner(fleet_state& state, backend_sessions& backends,
                                    owner_settings settings)
-    : state_{state}, backends_{backends}, settings_{settings} {}
+    : state_{state}, backends_{backends}, settings_{settings}, warm_up_{settings.warm_up} {}
 
 void connection_owner::submit(time_point now, const vm_id& entry, forwarded_statement statement,
                               proxy_output& out) {
@@ -34,8 +34,16 @@
         leases_.erase(bound); // The connection was lost while it ran no statement.
         bound = leases_.end();
     }
+    if (state_.evacuation_blocks(now, statement.backend)) {
+        refuse_evacuated(now, {entry, std::move(statement), entry_deadline}, out);
+        return;
+    }
     if (bound != leases_.end()) {
         bound->second.used = now;
+        if (warm_up_refuses(now, statement)) {
+            refuse_warming_up(now, {entry, std::move(statement), entry_deadline}, out);
+            return;
+        }
         start(now, {entry, std::move(statement), entry_deadline}, bound->second.connection, out);
         return;
     }
@@ -91,6 +99,14 @@
         if (!next) {
             return;
         }
+        if (state_.evacuation_blocks(now, backend)) {
+            refuse_evacuated(now, next->item, out);
+            continue;
+        }
+        if (warm_up_refuses(now, next->item.statement)) {
+            refuse_warming_up(now, next->item, out);
+            continue;
+        }
         const auto connection =
             backends_.acquire(now, backend, needs_of(next->item.statement), out);
         if (!connection) {
@@ -224,6 +240,8 @@
         const bool gone = it->second.empty() && state_.directory.find(it->first) == nullptr;
         it = gone ? queues_.erase(it) : std::next(it);
     }
+    std::erase_if(warm_up_reported_at_,
+                  [&](const auto& each) { return state_.directory.find(each.first) == nullptr; });
     std::erase_if(service_times_,
                   [&](const auto& each) { return state_.directory.find(each.first) == nullptr; });
 }
--- a/src/core/sessions/failover_coordinator.cpp
+++ b/src/core/sessions/failover_coordinator.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include <algorithm>
+#include <tuple>
 
 #include "promotion_log.hpp"
 
@@ -89,13 +90,10 @@
         now - entry->absent_since > settings_.registration_timeout) {
         return "primary is no longer registered";
     }
-    if (entry->registration.leaving && silent_for < settings_.primary_timeout) {
-        const bool has_successor =
-            std::any_of(members.begin(), members.end(), [&](const auto& server) {
-                return server != *primary && !state_.directory.find(server)->registration.leaving;
-            });
-        planned = has_successor;
-        return has_successor ? std::optional<std::string>{"primary is leaving"} : std::nullopt;
+    const auto* move = reason_to_move(*entry);
+    if (move != nullptr && silent_for < settings_.primary_timeout) {
+        planned = has_successor(group, *primary);
+        return planned ? std::optional<std::string>{move} : std::nullopt;
     }
     if (observer_.refused_at(*primary) > leadership.primary_answered_at()) {
         return "primary is down";
@@ -203,6 +201,7 @@
     const auto caught_up = [&](const backend_server_id& server) {
         const auto found = last_status_.find(server);
         return found != last_status_.end() && server != *current.old_primary &&
+               !is_passed_over(group, server) &&
                found->second.received >= *current.old_primary_log_end;
     };
     const auto members = state_.directory.members(group);
@@ -335,14 +334,14 @@
 std::optional<backend_server_id>
 failover_coordinator::best_candidate(const attempt& current) const {
     std::optional<backend_server_id> best;
-    std::pair<log_point, bool> best_rank;
+    std::tuple<log_point, bool, bool> best_rank;
     for (const auto& [server, point] : current.replicas) {
         if (!point || current.not_running_servers.contains(server)) {
             continue;
         }
         const auto* entry = state_.directory.find(server);
         const bool stays = entry != nullptr && !entry->registration.leaving;
-        const std::pair rank{*point, stays};
+        const std::tuple rank{*point, !is_evacuated(server), stays};
         if (!best || rank > best_rank) {
             best = server;
             best_rank = rank;
--- a/src/core/sessions/group_observer.cpp
+++ b/src/core/sessions/group_observer.cpp
@@ -119,7 +119,8 @@
         report_failed_read(now, out);
     }
     const bool direct_read = reader_.empty() && list_older_than(now, settings_.direct_read_after);
-    const bool wanted = observes_all_ || is_reader_ || direct_read || !state_.directory.known();
+    const bool wanted = observes_all_ || is_reader_ || direct_read || !state_.directory.known() ||
+                        !state_.evacuations.known();
     if (!wanted || directory_pending_ || now < next_directory_read_) {
         return;
     }
@@ -143,6 +144,9 @@
     }
     next_directory_read_ = directory_requested_at_ + settings_.directory_read_interval;
     apply_list(now, directory_requested_at_, answer.version, answer.backends, "store", out);
+    if (answer.evacuations) {
+        apply_evacuations(now, directory_requested_at_, *answer.evacuations, "store", out);
+    }
     return true;
 }
 
@@ -177,6 +181,7 @@
         return;
     }
     next_age_report_ = now + settings_.age_report_interval;
+    report_evacuations(now, out);
     const auto age = now - state_.directory.read_at();
     out.common.emplace_back(measurement{metric_kind::gauge, "registry_age_ms", "", "",
                                         static_cast<double>(to_milliseconds(age))});
--- a/src/core/sessions/group_observer_queries.cpp
+++ b/src/core/sessions/group_observer_queries.cpp
@@ -131,6 +131,10 @@
             reply.directory = state_.directory.registrations();
         }
     }
+    if (state_.evacuations.enabled() && state_.evacuations.known()) {
+        reply.evacuations = state_.evacuations.last();
+        reply.evacuations_age = now - state_.evacuations.read_at();
+    }
     out.common.emplace_back(send_to_peer{from, vm->peer, peer_channel::stream, std::move(reply)});
 }
 
@@ -147,6 +151,10 @@
         check_reader_answer(now, from, reply, out);
     }
     apply_directory(now, query.at, from, reply, out);
+    if (reply.evacuations) {
+        apply_evacuations(now, query.at - reply.evacuations_age, *reply.evacuations, from.str(),
+                          out);
+    }
     // The primary's status is applied before and after those of the replicas: first for its term,
     // which the replicas' statuses prove, then for its log position, which is recorded only with a
     // proof.
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -27,6 +27,7 @@
     state.self = settings.self;
     state.live = {settings.self};
     state.regions = settings.regions;
+    state.evacuations = evacuation_list{settings.evacuations};
     return state;
 }
 
@@ -192,10 +193,23 @@
     }
     applied_revision_ = configuration_.present();
     state_.configuration = configuration_.document();
+    report_unknown_regions(out);
     members_.set_revision(applied_revision_);
     limiter_.configure(now, state_.configuration->organisations, applied_revision_, out.common);
 }
 
+/// Logs each name in `allowed_regions` that is no region, once while it is in the configuration.
+void session_proxy::report_unknown_regions(proxy_output& out) {
+    const auto problems = unknown_regions(*state_.configuration, state_.regions);
+    const auto before =
+        std::exchange(reported_regions_, std::set<std::string>{problems.begin(), problems.end()});
+    for (const auto& problem : reported_regions_) {
+        if (!before.contains(problem)) {
+            log(out.common, "regions", log_level::warning, problem);
+        }
+    }
+}
+
 void session_proxy::apply_membership(time_point now, proxy_output& out) {
     if (members_.version() == fleet_version_) {
         return;
@@ -229,7 +243,8 @@
 }
 
 bool session_proxy::ready() const noexcept {
-    return !leaving_ && state_.configuration != nullptr && state_.directory.known();
+    return !leaving_ && state_.configuration != nullptr && state_.directory.known() &&
+           state_.evacuations.known();
 }
 
 void session_proxy::report_readiness(proxy_output& out) {
--- a/src/core/sessions/statement_executor.cpp
+++ b/src/core/sessions/statement_executor.cpp
@@ -100,7 +100,11 @@
     } else {
         return refusal{statement_error::unauthorised, "unknown key"};
     }
-    routes_[session.id] = {state_.configuration, &row->second, pool->second.groups.begin()->first};
+    const auto organisation = state_.configuration->organisations.find(session.organisation);
+    const auto* limits =
+        organisation == state_.configuration->organisations.end() ? nullptr : &organisation->second;
+    routes_[session.id] = {state_.configuration, &row->second, pool->second.groups.begin()->first,
+                           region_policy{row->second, limits}};
     return {};
 }
 
@@ -282,6 +286,9 @@
                                   row.consistency == consistency_mode::primary ||
                                   (session.work->statement.kind == statement_kind::begin &&
                                    !session.work->statement.read_only);
+    if (refuse_if_unservable(now, session, out)) {
+        return;
+    }
     const admission_request request{request_id{session.id.value()}, session.organisation,
                                     row.priority, session.work->deadline,
                                     now + from_milliseconds(row.target_latency_ms)};
@@ -366,7 +373,9 @@
     for (const auto id : working) {
         const auto found = sessions_.find(id);
         if (found != sessions_.end() && found->second.work) {
-            check_progress(now, found->second, out);
+            if (!abort_if_evacuated(now, found->second, out)) {
+                check_progress(now, found->second, out);
+            }
         }
     }
     if (now >= next_idle_check_) {
@@ -385,7 +394,8 @@
 }
 
 void statement_executor::check_idle(time_point now, caller_session& session, proxy_output& out) {
-    if (session.transaction.state == transaction_state::open) {
+    if (!abort_if_evacuated(now, session, out) &&
+        session.transaction.state == transaction_state::open) {
         const auto limit = from_milliseconds(routes_.at(session.id).row->transaction_idle_ms);
         const bool stop_due = refuses_operations(now);
         if (now - session.last_activity < limit && !stop_due) {
--- a/src/core/sessions/statement_forwarder.cpp
+++ b/src/core/sessions/statement_forwarder.cpp
@@ -14,7 +14,8 @@
     : state_{state}, owner_{owner}, settings_{settings}, ids_{ids} {}
 
 std::optional<vm_id> statement_forwarder::owner_for(time_point now,
-                                                    const backend_server_id& backend) {
+                                                    const backend_server_id& backend,
+                                                    const region_policy& regions) {
     const auto* entry = state_.directory.find(backend);
     if (entry == nullptr) {
         return {};
@@ -24,13 +25,20 @@
     const bool reachable_by_all =
         std::none_of(unreachable_.begin(), unreachable_.end(),
                      [&](const auto& each) { return each.first.second == backend; });
+    const auto may_have_text = [&](const vm_entry& vm) {
+        return regions.may_have_text(vm.place.region, state_.self.place.region);
+    };
     if (reachable_by_all) {
-        return default_owner(backend, *entry);
+        const auto owner = default_owner(backend, *entry);
+        const auto* vm = owner ? state_.find_vm(*owner) : nullptr;
+        if (vm == nullptr || may_have_text(*vm)) {
+            return owner;
+        }
     }
     std::vector<vm_entry> candidates;
     std::copy_if(state_.live.begin(), state_.live.end(), std::back_inserter(candidates),
                  [&](const vm_entry& vm) {
-                     return !unreachable_.contains({vm.vm, backend});
+                     return may_have_text(vm) && !unreachable_.contains({vm.vm, backend});
                  });
     return owner_of(backend, location_of(*entry), candidates);
 }
@@ -69,8 +77,9 @@
 }
 
 std::optional<connection_id> statement_forwarder::acquire(time_point now,
-                                                          const backend_server_id& backend) {
-    const auto owner = owner_for(now, backend);
+                                                          const backend_server_id& backend,
+                                                          const region_policy& regions) {
+    const auto owner = owner_for(now, backend, regions);
     if (!owner) {
         return {};
     }
--- a/src/core/sessions/statement_placement.cpp
+++ b/src/core/sessions/statement_placement.cpp
@@ -37,6 +37,9 @@
         if (now < session.work->retry_at) {
             continue;
         }
+        if (refuse_if_unservable(now, session, out)) {
+            continue;
+        }
         const std::pair requirement{routes_.at(session.id).group, session.work->needs_primary};
         const bool own_connection = session.transaction.opened;
         if (!own_connection && exhausted.contains(requirement)) {
@@ -44,7 +47,8 @@
         }
         if (place(now, session, out)) {
             waiting_.erase(key);
-        } else if (!own_connection && session.work && session.work->tried.empty()) {
+        } else if (!own_connection && session.work && session.work->tried.empty() &&
+                   !routes_.at(session.id).regions.restricted()) {
             exhausted.insert(requirement);
         }
     }
@@ -61,6 +65,9 @@
 
 bool statement_executor::place_in_transaction(time_point now, caller_session& session,
                                               proxy_output& out) {
+    if (abort_if_evacuated(now, session, out)) {
+        return true;
+    }
     const auto& transaction = session.transaction;
     const auto& work = *session.work;
     if (transaction.primary_term > term{} && work.statement.kind == statement_kind::commit &&
@@ -89,7 +96,8 @@
     }
     const auto* entry =
         leadership.primary() ? state_.directory.find(*leadership.primary()) : nullptr;
-    if (entry != nullptr && may_stop_soon(now, *entry)) {
+    if (entry != nullptr && (may_stop_soon(now, *entry) || !may_run_at(session, *entry) ||
+                             state_.evacuations.blocks(now, entry->registration.domain))) {
         return false;
     }
     if (!leadership.confirmed(now) ||
@@ -156,7 +164,7 @@
         const bool primary = leadership.primary() == backend;
         const bool confirmed_primary = primary && leadership.confirmed(now);
         if (registration.group != group || session.work->tried.contains(backend) ||
-            may_stop_soon(now, entry) || !forwarder_.open(now, backend) ||
+            !may_read_at(now, session, entry) || !forwarder_.open(now, backend) ||
             (!required && !confirmed_primary)) {
             continue;
         }
@@ -195,7 +203,7 @@
 bool statement_executor::send(time_point now, caller_session& session,
                               const backend_server_id& backend, std::optional<log_point> after,
                               proxy_output& out) {
-    const auto lease = forwarder_.acquire(now, backend);
+    const auto lease = forwarder_.acquire(now, backend, routes_.at(session.id).regions);
     if (!lease) {
         return false;
     }
--- a/src/core/sessions/statement_results.cpp
+++ b/src/core/sessions/statement_results.cpp
@@ -230,7 +230,8 @@
     work.tried.insert(result.backend);
     const auto members = state_.directory.members(routes_.at(session.id).group);
     const bool all_tried = std::all_of(members.begin(), members.end(), [&](const auto& server) {
-        return work.tried.contains(server);
+        return work.tried.contains(server) ||
+               !may_read_at(now, session, *state_.directory.find(server));
     });
     work.retry_at = now;
     if (work.needs_primary || all_tried) {
--- a/tests/core/failover_coordinator_test.cpp
+++ b/tests/core/failover_coordinator_test.cpp
@@ -121,6 +121,22 @@
         state.directory.update(at(milliseconds), at(milliseconds), ++registry_version, list);
         state.update_group_members();
     }
+    void place_servers(const std::map<const char*, const char*>& domains) {
+        std::vector<backend_registration> list;
+        for (const auto& [name, domain] : domains) {
+            list.push_back(registration(name));
+            list.back().domain = failure_domain_id{domain};
+        }
+        state.directory.update(at(0), at(0), ++registry_version, list);
+        state.evacuations = evacuation_list{{std::chrono::seconds{5}, std::chrono::seconds{1}}};
+        evacuate(0, {});
+    }
+    void evacuate(std::int64_t milliseconds, const std::vector<const char*>& domains) {
+        for (int i = 0; i < 2; ++i) { // An evacuation ends with the second list without it.
+            state.evacuations.update(at(milliseconds),
+                                     {++registry_version, {domains.begin(), domains.end()}});
+        }
+    }
     /// Replaces the silent primary `p` by `r1`, which leads term 2; `r2` stays held.
     /// @return time of the takeover
     std::int64_t replace_silent_primary() {
@@ -246,6 +262,45 @@
     EXPECT_EQ(promotions.front().backend, backend_server_id{"r2"});
 }
 
+/// Guards against a primary that stays in an evacuated domain, or is moved to another server of it
+/// although one outside has the same log.
+TEST_F(FailoverCoordinator, PrimaryOfAnEvacuatedDomainMovesOutside) {
+    place_servers({{"p", "d1"}, {"r1", "d1"}, {"r2", "d2"}});
+    run(0, 500);
+    evacuate(500, {"d1"});
+    status["p"].received = point(1, 12);
+    status["r1"].received = point(1, 12);
+    run(500, 700);
+    EXPECT_TRUE(sent("p", command_kind::step_down));
+    EXPECT_TRUE(promotions.empty()) << "no server outside has the whole log";
+    status["r2"].received = point(1, 12);
+    run(700, 900);
+    ASSERT_EQ(promotions.size(), 1U);
+    EXPECT_EQ(promotions.front().backend, backend_server_id{"r2"});
+}
+
+/// Guards against moving a primary within an evacuated domain, which interrupts its group in vain.
+TEST_F(FailoverCoordinator, PrimaryStaysWhereNoServerOutsideCanLead) {
+    place_servers({{"p", "d1"}, {"r1", "d1"}, {"r2", "d2"}});
+    run(0, 500);
+    evacuate(500, {"d1", "d2"});
+    run(500, 3000);
+    EXPECT_FALSE(sent("p", command_kind::step_down));
+    EXPECT_TRUE(promotions.empty());
+    evacuate(3000, {"d1"});
+    run(3000, 3100);
+    EXPECT_TRUE(sent("p", command_kind::step_down)) << "r2 may lead again";
+}
+
+TEST_F(FailoverCoordinator, CancelledEvacuationMovesNoPrimary) {
+    place_servers({{"p", "d1"}, {"r1", "d2"}, {"r2", "d2"}});
+    run(0, 500);
+    evacuate(500, {"d1"});
+    evacuate(510, {});
+    run(525, 3000);
+    EXPECT_FALSE(sent("p", command_kind::step_down));
+}
+
 TEST_F(FailoverCoordinator, TriesAnotherReplicaWhenTheFirstIsNotRunning) {
     run(0, 500);
     crash("p", at(500));
--- a/tests/core/group_observer_test.cpp
+++ b/tests/core/group_observer_test.cpp
@@ -269,6 +269,26 @@
             return !vm->state.directory.find(list_[server].backend)->registration.leaving;
         }));
     }
+    void enable_evacuations() {
+        for (auto& vm : vms_) {
+            vm->state.evacuations = evacuation_list{{std::chrono::seconds{5}, {}}};
+        }
+    }
+    /// The domain `d0` is evacuated from the next read of the store on.
+    void evacuate() { evacuated_ = {failure_domain_id{"d0"}}; }
+    /// The store answers reads of the servers, but none of the evacuations.
+    void fail_evacuation_reads() { evacuation_reads_fail_ = true; }
+    void restart(std::size_t vm) {
+        vms_[vm] = std::make_unique<observing_vm>(vm);
+        vms_[vm]->state.evacuations = evacuation_list{{std::chrono::seconds{5}, {}}};
+        vms_[vm]->state.directory = backend_directory{};
+    }
+    /// Number of VMs that do not know that `d0` is evacuated.
+    [[nodiscard]] std::size_t unaware_of_evacuation() const {
+        return static_cast<std::size_t>(std::count_if(vms_.begin(), vms_.end(), [](auto& vm) {
+            return !vm->state.evacuations.contains(failure_domain_id{"d0"});
+        }));
+    }
     [[nodiscard]] std::size_t registry_reads() const { return registry_reads_; }
 
   private:
@@ -288,6 +308,9 @@
             found.status = store_status::ok;
             found.version = version_;
             found.backends = list_;
+            if (!evacuation_reads_fail_) {
+                found.evacuations = {version_, evacuated_};
+            }
         }
         proxy_output out;
         from.observer.on_store(now, found, out);
@@ -308,6 +331,8 @@
     std::vector<std::unique_ptr<observing_vm>> vms_;
     std::vector<backend_registration> list_{registry()};
     std::set<vm_id> store_unavailable_for_;
+    std::vector<failure_domain_id> evacuated_;
+    bool evacuation_reads_fail_{false};
     std::uint64_t version_{1};
     std::size_t registry_reads_{0};
 };
@@ -332,6 +357,34 @@
     EXPECT_LE(fleet.registry_reads() - before, 12 * (GetParam() + 4));
 }
 
+/// Guards against VMs that learn of an evacuation too late: requests end 4 s after the operator's.
+TEST_P(RegistryReadersTurnedAway, AllVmsLearnOfAnEvacuation) {
+    observing_fleet fleet;
+    fleet.enable_evacuations();
+    fleet.run(0, 3'000);
+    fleet.set_store_unavailable_for_readers(GetParam());
+    fleet.evacuate();
+    fleet.run(3'000, 3'000 + 4'000);
+    EXPECT_EQ(fleet.unaware_of_evacuation(), 0U);
+}
+
+/// Guards against an evacuation that is forgotten when the store fails partway, and that a VM which
+/// starts then never learns of.
+TEST(GroupObserver, LastEvacuationsStayKnownWhileTheStoreFailsPartway) {
+    observing_fleet fleet;
+    fleet.enable_evacuations();
+    fleet.evacuate();
+    fleet.run(0, 3'000);
+    fleet.fail_evacuation_reads();
+    fleet.restart(9);
+    fleet.run(3'000, 6'000);
+    EXPECT_EQ(fleet.unaware_of_evacuation(), 0U);
+    fleet.set_store_unavailable_for_readers(vm_count);
+    fleet.restart(10);
+    fleet.run(6'000, 12'000);
+    EXPECT_EQ(fleet.unaware_of_evacuation(), 0U);
+}
+
 INSTANTIATE_TEST_SUITE_P(GroupObserver, RegistryReadersTurnedAway,
                          ::testing::Values(0U, 1U, 2U, 5U));
 
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -2,6 +2,7 @@
 #include "jackdawvane/node/peer.hpp"
 
 #include <string>
+#include <vector>
 
 #include "platform/base64.hpp"
 #include "platform/documents.hpp"
@@ -17,7 +18,8 @@
     "tenants":[{"name":"t","api_keys":["k1","k2"],"rate_per_s":144,"burst":20}]})";
 
 TEST(Documents, DecodesTheOperatorsConfiguration) {
-    const auto decoded = decode_configuration(configuration);
+    std::vector<std::string> problems;
+    const auto decoded = decode_configuration(configuration, problems);
     ASSERT_TRUE(decoded);
     const auto& document = decoded.value();
     EXPECT_EQ(document.revision, revision{7});
@@ -41,7 +43,8 @@
 class BadConfiguration : public ::testing::TestWithParam<bad_document> {};
 
 TEST_P(BadConfiguration, IsRefused) {
-    EXPECT_FALSE(decode_configuration(GetParam().text));
+    std::vector<std::string> problems;
+    EXPECT_FALSE(decode_configuration(GetParam().text, problems));
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -54,6 +57,35 @@
                           R"({"version":1,"routes":[{"host":"h","service":"s","type":"x"}]})"}),
     [](const auto& each) { return each.param.name; });
 
+/// Guards against one invalid value that keeps a whole configuration from taking effect, or that
+/// allows more regions than the operator wants.
+TEST(Documents, InvalidValuesLeaveTheRestInEffect) {
+    std::vector<std::string> problems;
+    const auto decoded = decode_configuration(
+        R"({"version":7,"routes":[{"host":"a","type":"primary","service":"s","priority":-1,
+            "allowed_regions":"north"},{"host":"b","type":"primary","service":"s","priority":101,
+            "allowed_regions":["north",7]},{"host":"c","type":"primary","service":"s",
+            "priority":0,"allowed_regions":[]}],
+            "services":[{"name":"s","warmup_per_s":-4},{"name":"u","warmup_per_s":40}],
+            "tenants":[{"name":"t","allowed_regions":["south"]}]})",
+        problems);
+    ASSERT_TRUE(decoded);
+    const auto& document = decoded.value();
+    EXPECT_EQ(problems.size(), 5U);
+    const auto& a = document.routes.at(route_name{"a"});
+    EXPECT_EQ(a.priority, route_row{}.priority);
+    EXPECT_EQ(a.allowed_regions, std::vector<region_id>{region_id{}});
+    const auto& b = document.routes.at(route_name{"b"});
+    EXPECT_EQ(b.priority, route_row{}.priority);
+    EXPECT_EQ(b.allowed_regions.front(), region_id{"north"});
+    EXPECT_TRUE(document.routes.at(route_name{"c"}).allowed_regions.empty());
+    EXPECT_EQ(document.routes.at(route_name{"c"}).priority, 0U);
+    EXPECT_EQ(document.pools.at(pool_name{"s"}).groups.at(group_id{"s"}).warm_up_rate, 0);
+    EXPECT_EQ(document.pools.at(pool_name{"u"}).groups.at(group_id{"u"}).warm_up_rate, 40);
+    EXPECT_EQ(document.organisations.at(organisation_id{"t"}).allowed_regions,
+              std::vector<region_id>{region_id{"south"}});
+}
+
 constexpr const char* server = R"({"service":"s","address":"10.1.2.3:8080","zone":"z",
     "version":"v1","capacity":3,"state":"draining","warmup_remaining_ms":40,
     "db_role":"primary","sequence":4,"born":1700000000000})";
--- a/tests/platform/entry_settings_test.cpp
+++ b/tests/platform/entry_settings_test.cpp
@@ -21,6 +21,17 @@
     EXPECT_EQ(proxy.executor.grace, std::chrono::seconds{6});
     EXPECT_EQ(proxy.regions.at(failure_domain_id{"f"}), region_id{"s"});
     EXPECT_EQ(proxy.holders_per_domain, 3U);
+    EXPECT_FALSE(evacuation_list{proxy.evacuations}.enabled());
+}
+
+TEST(EntrySettings, EvacuationTimeoutEnablesEvacuations) {
+    auto text = settings_text;
+    text.insert(text.rfind('}'), ",\"evacuation_timeout_ms\":5000");
+    settings_problems problems;
+    const auto settings = read_settings<entry_settings>(text, problems);
+    ASSERT_TRUE(settings) << describe_problems("text", problems);
+    EXPECT_EQ(make_proxy_settings(*settings, vm_incarnation{1}, 2).evacuations.timeout,
+              std::chrono::seconds{5});
 }
 
 TEST(EntrySettings, LargerFleetsHaveFewerHoldersPerDomain) {
--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -28,13 +28,14 @@
 /// Store whose answers the test chooses, and the adapter that calls it.
 class KvStore : public ::testing::Test {
   protected:
-    store_answer call(store_operation operation) {
+    store_answer call(store_operation operation) { return call(operation, store); }
+    store_answer call(store_operation operation, kv_store& called) {
         store_request request;
         request.id = request_id{++calls};
         request.operation = operation;
         request.key = "shares/1";
         answers.clear();
-        store.call(request);
+        called.call(request);
         const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{5};
         while (answers.empty() && std::chrono::steady_clock::now() < end) {
             context.restart();
@@ -45,16 +46,21 @@
 
     boost::asio::io_context context;
     std::string body;
+    std::string evacuations;
+    unsigned evacuations_status{200};
     int requests{0};
     std::uint64_t calls{0};
     std::vector<store_answer> answers;
     std::vector<std::string> warnings;
     http_server server{context,
                        {{"127.0.0.1", 0}},
-                       [this](const http_request_view& /*request*/, const http_responder& to) {
+                       [this](const http_request_view& request, const http_responder& to) {
                            ++requests;
                            http_response response;
-                           response.body = body;
+                           const auto target = std::string{request.target()};
+                           const bool of_operator = target.find("evacuate") != std::string::npos;
+                           response.body = of_operator ? evacuations : body;
+                           response.status = of_operator ? evacuations_status : 200;
                            to.respond(std::move(response));
                        }};
     kv_store store{context,
@@ -156,6 +162,52 @@
         odd_answer{"lease_is_an_array", store_operation::renew_lease, "[]"}),
     [](const auto& tested) { return std::string{tested.param.name}; });
 
+class KvStoreEvacuations : public KvStore {
+  protected:
+    KvStoreEvacuations() {
+        body = R"({"items":[)" + item("servers/i-1", registration_text("10.1.2.3:80")) +
+               R"(],"has_more":false,"at_revision":9})";
+    }
+    kv_store reader{
+        context,
+        {server.local_endpoint(), {}, milliseconds{1200}, true},
+        [this](store_answer&& each) { answers.push_back(std::move(each)); },
+        [this](log_level /*level*/, std::string text) { warnings.push_back(std::move(text)); }};
+};
+
+/// Guards against one key of another form that hides the others, or is logged at each read.
+TEST_F(KvStoreEvacuations, AreReadWithTheServers) {
+    evacuations = R"({"items":[)" + item("op/evacuate/z1", "{}") + "," +
+                  item("op/evacuate/", "{}") + "," + item("op/evacuate/z 2", "{}") + "," +
+                  item("op/evacuate/z3", "no JSON") + R"(],"has_more":false,"at_revision":11})";
+    for (int i = 0; i < 2; ++i) {
+        const auto list = call(store_operation::list_backends, reader);
+        ASSERT_EQ(list.status, store_status::ok);
+        EXPECT_EQ(list.backends.size(), 1U);
+        ASSERT_TRUE(list.evacuations);
+        EXPECT_EQ(list.evacuations->version, 11U);
+        EXPECT_EQ(
+            list.evacuations->domains,
+            (std::vector<failure_domain_id>{failure_domain_id{"z1"}, failure_domain_id{"z3"}}));
+    }
+    EXPECT_EQ(warnings.size(), 2U);
+}
+
+/// Guards against an empty list in place of the last one when the store fails partway.
+TEST_F(KvStoreEvacuations, AreAbsentWhenTheirReadFails) {
+    evacuations_status = 503;
+    const auto list = call(store_operation::list_backends, reader);
+    EXPECT_EQ(list.status, store_status::ok);
+    EXPECT_EQ(list.backends.size(), 1U);
+    EXPECT_FALSE(list.evacuations);
+}
+
+/// Guards against further store calls on deployments without evacuations.
+TEST_F(KvStoreEvacuations, CostNoCallWhereTheyAreNotEnabled) {
+    EXPECT_FALSE(call(store_operation::list_backends).evacuations);
+    EXPECT_EQ(requests, 1);
+}
+
 /// Guards against reading the first page of a list for ever when its last item has no key.
 TEST_F(KvStore, PageWithoutALastKeyIsAnIncompleteList) {
     body = R"({"items":[{"value":""}],"has_more":true,"at_revision":9})";
