--- a/tests/core/connection_owner_test.cpp
+++ b/tests/core/connection_owner_test.cpp
@@ -101,7 +101,8 @@
     statement.lease = connection_id{1001};
     fixture.owner.submit(at(3), vm_id{"c"}, statement, fixture.out);
     fixture.backends.on_reply(
-        at(13), {sent.front().first, done(transaction_state::idle, point(1, 10)), {}}, fixture.out);
+        at(13), {sent.front().first, success(transaction_state::idle, point(1, 10)), {}},
+        fixture.out);
     fixture.owner.settle(at(13), fixture.out);
     const auto results = fixture.owner.take_results();
     ASSERT_EQ(results.size(), 1U);
