Place reads by the load of the whole fleet and by the outcomes of statements

read_cost saw only the statements of this VM, which is 1 of 78, and forgot distance after the first answer; a server that failed reads while its probe succeeded kept its share of them.

The forwarder keeps the reported load with its time of arrival; read_cost mixes it by age with this VM's measurements, adds what was sent since, always counts distance, and lets the primary's penalty follow its load. Among nearly equal loaded servers the read is drawn by cost. Owners attach a load only when it has changed or the last one is 100 ms old. server_health ejects servers by failures, lost connections and timeouts, at most half of a group's, and takes them back by single probes after pauses of 1 to 30 s. Reads stay in the region but for the share of zone_spillover; a read whose near servers refuse for the moment waits for the end of their back-off (20 ms) instead of leaving.

Not yet run: the process tests and the soak.

--- a/include/jackdawvane/sessions/connection_owner.hpp
+++ b/include/jackdawvane/sessions/connection_owner.hpp
@@ -2,8 +2,10 @@
 
 #include "jackdawvane/limits/fair_queue.hpp"
 #include "jackdawvane/sessions/backend_sessions.hpp"
+#include "jackdawvane/sessions/load_reporter.hpp"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace jackdawvane {
@@ -84,6 +86,8 @@
     void report_not_run(const queued& entry, statement_error problem);
     void report(const vm_id& entry, attempt_result result);
     void measure(const backend_server_id& backend, duration service_time);
+    [[nodiscard]] std::optional<server_load> due_load(const vm_id& entry,
+                                                      const backend_server_id& backend);
     [[nodiscard]] server_load load_of(const backend_server_id& backend) const;
 
     fleet_state& state_;
@@ -95,6 +99,8 @@
     std::map<lease_key, lease> leases_;
     std::map<attempt_id, running> running_;
     std::map<backend_server_id, duration> service_times_; ///< Moving averages.
+    load_reporter reporter_;
+    time_point present_{}; ///< Time of the current call; the loads of its results are of this time.
     std::vector<owner_result> results_;
     time_point backlog_until_{}; ///< Earlier arrivals may have waited during a pause.
 };
--- a/include/jackdawvane/sessions/statement_executor.hpp
+++ b/include/jackdawvane/sessions/statement_executor.hpp
@@ -2,6 +2,7 @@
 
 #include "jackdawvane/foundation/id_sequence.hpp"
 #include "jackdawvane/limits/admission.hpp"
+#include "jackdawvane/routing/zone_spillover.hpp"
 #include "jackdawvane/sessions/backend_chooser.hpp"
 #include "jackdawvane/sessions/caller_session.hpp"
 #include "jackdawvane/sessions/fleet_state.hpp"
@@ -36,6 +37,7 @@
 /// @brief Time limits, delays and queue limits of the statement executor.
 struct executor_settings {
     chooser_settings choice;
+    spillover_settings spillover;
     /// A read without an answer is hedged, that is also sent to another server, after its timeout
     /// divided by this.
     int hedge_divisor{3};
@@ -174,6 +176,22 @@
     [[nodiscard]] bool send(time_point now, caller_session& session,
                             const backend_server_id& backend, std::optional<log_point> after,
                             proxy_output& out);
+    [[nodiscard]] std::optional<backend_server_id> choose_read(time_point now,
+                                                               caller_session& session,
+                                                               std::vector<read_candidate> found,
+                                                               proxy_output& out);
+    [[nodiscard]] std::optional<backend_server_id> apply_health(time_point now,
+                                                                const caller_session& session,
+                                                                std::vector<read_candidate>& found,
+                                                                proxy_output& out);
+    void apply_spillover(time_point now, const group_id& group, std::vector<read_candidate>& found,
+                         proxy_output& out);
+    [[nodiscard]] read_reach reach_of(const read_candidate& candidate) const;
+    [[nodiscard]] spillover_input spillover_costs(time_point now,
+                                                  const std::vector<read_candidate>& found) const;
+    void log_spillover(const group_id& group, const spillover_input& costs, proxy_output& out);
+    void log_health_changes(proxy_output& out);
+    [[nodiscard]] std::uint64_t draw();
     void log_use_of_leaving(time_point now, const caller_session& session,
                             const backend_server_id& backend, proxy_output& out) const;
     void send_attempt(time_point now, caller_session& session, const backend_server_id& backend,
@@ -231,6 +249,13 @@
     std::map<session_id, operation_route> routes_;
     std::map<attempt_id, session_id> attempts_;
     std::set<queue_key> waiting_;
+    struct group_spillover {
+        zone_spillover shares;
+        double logged_domain{0}; ///< Share that was logged last.
+        double logged_region{0};
+    };
+    std::map<group_id, group_spillover> spillovers_;
+    std::uint64_t draws_{0};
     std::set<session_id> active_sessions_; ///< Sessions with a current statement.
     time_point next_tick_{};
     time_point next_idle_check_{};
--- a/include/jackdawvane/sessions/statement_forwarder.hpp
+++ b/include/jackdawvane/sessions/statement_forwarder.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "jackdawvane/sessions/backend_chooser.hpp"
 #include "jackdawvane/sessions/connection_owner.hpp"
+#include "jackdawvane/sessions/server_health.hpp"
 
 #include <map>
 #include <optional>
@@ -19,6 +21,9 @@
     int latency_divisor{8};
     /// The average response time is discarded when no answer has come for this long.
     duration latency_ttl{std::chrono::seconds{2}};
+    /// A reported load is discarded at this age, when its service time counts for a third.
+    duration report_ttl{std::chrono::seconds{10}};
+    health_settings health;
 };
 
 /// @brief Forwards statements to the VMs that own the connections to backend servers.
@@ -55,6 +60,14 @@
     /// @brief Average recent response time of @a backend; nothing when there is none.
     [[nodiscard]] std::optional<duration> latency(time_point now,
                                                   const backend_server_id& backend) const;
+    /// @brief Last reported load of @a backend; nothing when there is none.
+    [[nodiscard]] std::optional<load_report> report(time_point now,
+                                                    const backend_server_id& backend) const;
+    /// @brief Age of the newest measurement of @a backend, this VM's own or a report.
+    /// 0 while statements of this VM are unanswered there; the maximum without a measurement.
+    [[nodiscard]] duration evidence_age(time_point now, const backend_server_id& backend) const;
+    /// @brief Health of the servers by the outcomes of this VM's statements.
+    [[nodiscard]] server_health& health() noexcept { return health_; }
     /// @brief Whether this VM owns the connections to @a backend as far as it knows.
     [[nodiscard]] bool owns(const backend_server_id& backend) const;
 
@@ -77,6 +90,9 @@
         duration mean{0};
         time_point measured{time_point::min()};
         time_point busy_until{time_point::min()};
+        std::optional<server_load> reported;
+        time_point reported_at{time_point::min()};
+        std::uint32_t sent_since{0}; ///< Unanswered attempts sent since `reported_at`.
     };
 
     [[nodiscard]] std::optional<vm_id> owner_for(time_point now, const backend_server_id& backend);
@@ -86,6 +102,8 @@
     void send_release(time_point now, const lease_release& release, const vm_id& owner,
                       proxy_output& out);
     void accept_result(time_point now, const attempt_result& result);
+    void keep_load(time_point now, const attempt_result& result);
+    void note_outcome(time_point now, time_point sent, const attempt_result& result);
     void end_attempt(time_point now, const attempt_result& result, bool measure);
 
     fleet_state& state_;
@@ -97,6 +115,7 @@
     std::map<backend_server_id, backend_load> loads_;
     std::map<std::pair<vm_id, backend_server_id>, time_point> unreachable_;
     std::vector<attempt_result> results_;
+    server_health health_;
     mutable std::map<backend_server_id, cached_owner> owners_; ///< Valid for `owners_version_`.
     mutable std::uint64_t owners_version_{0};
 };
--- a/src/core/sessions/connection_owner.cpp
+++ b/src/core/sessions/connection_owner.cpp
@@ -28,6 +28,7 @@
 
 void connection_owner::submit(time_point now, const vm_id& entry, forwarded_statement statement,
                               proxy_output& out) {
+    present_ = now;
     const auto entry_deadline = now + statement.remaining;
     auto bound = leases_.find({entry, statement.lease});
     if (bound != leases_.end() && !backends_.holds(bound->second.connection)) {
@@ -131,7 +132,7 @@
 }
 
 void connection_owner::report(const vm_id& entry, attempt_result result) {
-    result.load = load_of(result.backend);
+    result.load = due_load(entry, result.backend);
     results_.push_back({entry, std::move(result)});
 }
 
@@ -142,6 +143,11 @@
     }
 }
 
+std::optional<server_load> connection_owner::due_load(const vm_id& entry,
+                                                      const backend_server_id& backend) {
+    return reporter_.due(present_, entry, backend, load_of(backend));
+}
+
 server_load connection_owner::load_of(const backend_server_id& backend) const {
     server_load load;
     const auto queue = queues_.find(backend);
@@ -174,6 +180,7 @@
 }
 
 void connection_owner::forget(const vm_id& entry, proxy_output& out) {
+    reporter_.forget(entry);
     for (auto it = leases_.begin(); it != leases_.end();) {
         if (it->first.entry == entry) {
             backends_.discard(it->second.connection, out);
@@ -185,6 +192,7 @@
 }
 
 void connection_owner::settle(time_point now, proxy_output& out) {
+    present_ = now;
     for (auto& result : backends_.take_results()) {
         const auto found = running_.find(result.attempt);
         if (found == running_.end()) {
@@ -209,6 +217,7 @@
 }
 
 void connection_owner::tick(time_point now, proxy_output& out) {
+    reporter_.prune(now);
     for (auto it = leases_.begin(); it != leases_.end();) {
         if (now - it->second.used > settings_.lease_timeout) {
             log(out.common, "owner", log_level::warning,
--- a/src/core/sessions/statement_executor.cpp
+++ b/src/core/sessions/statement_executor.cpp
@@ -353,6 +353,7 @@
         for (const auto& result : results) {
             handle_result(now, result, out);
         }
+        log_health_changes(out);
         place_waiting(now, out);
         progress = !results.empty();
     }
--- a/src/core/sessions/statement_forwarder.cpp
+++ b/src/core/sessions/statement_forwarder.cpp
@@ -11,7 +11,7 @@
 statement_forwarder::statement_forwarder(fleet_state& state, connection_owner& owner,
                                          forwarder_settings settings,
                                          id_sequence<connection_id>& ids)
-    : state_{state}, owner_{owner}, settings_{settings}, ids_{ids} {}
+    : state_{state}, owner_{owner}, settings_{settings}, ids_{ids}, health_{settings.health} {}
 
 std::optional<vm_id> statement_forwarder::owner_for(time_point now,
                                                     const backend_server_id& backend) {
@@ -84,6 +84,7 @@
     attempts_[statement.attempt] = {statement.lease, now,
                                     found == leases_.end() ? vm_id{} : found->second.owner};
     ++loads_[statement.backend].running;
+    ++loads_[statement.backend].sent_since;
     if (found == leases_.end()) {
         // The VM that owned the connection is gone, so the transaction is lost.
         attempt_result lost;
@@ -147,6 +148,9 @@
     }
     auto& load = loads_[result.backend];
     load.running -= std::min(load.running, 1U);
+    if (found->second.sent >= load.reported_at) {
+        load.sent_since -= std::min(load.sent_since, 1U);
+    }
     if (measure) {
         const auto elapsed = now - found->second.sent;
         const bool first =
@@ -188,12 +192,37 @@
         }
     }
     end_attempt(now, result, result.answered && result.sent);
+    keep_load(now, result);
+    note_outcome(now, sent_at, result);
     if (!result.answered) {
         leases_.erase(result.lease);
     }
     results_.push_back(result);
 }
 
+void statement_forwarder::keep_load(time_point now, const attempt_result& result) {
+    if (result.load) {
+        auto& load = loads_[result.backend];
+        load.reported = result.load;
+        load.reported_at = now;
+        load.sent_since = 0;
+    }
+}
+
+/// A refusal says nothing about the server's health, nor does a VM that can't reach it.
+void statement_forwarder::note_outcome(time_point now, time_point sent,
+                                       const attempt_result& result) {
+    if (!result.sent || result.unreachable) {
+        return;
+    }
+    const auto problem = result.reply.problem;
+    const bool failed = !result.answered || problem == statement_error::failed ||
+                        problem == statement_error::timeout;
+    if (failed || problem == statement_error::none) {
+        health_.on_outcome(now, sent, result.backend, failed);
+    }
+}
+
 void statement_forwarder::on_vm_lost(const vm_id& vm) {
     std::vector<attempt_result> lost;
     for (const auto& [attempt, sent] : attempts_) {
@@ -234,4 +263,27 @@
     return found->second.mean;
 }
 
+std::optional<load_report> statement_forwarder::report(time_point now,
+                                                       const backend_server_id& backend) const {
+    const auto found = loads_.find(backend);
+    if (found == loads_.end() || !found->second.reported ||
+        now - found->second.reported_at > settings_.report_ttl) {
+        return {};
+    }
+    const auto& load = found->second;
+    return load_report{*load.reported, now - load.reported_at, load.sent_since};
+}
+
+duration statement_forwarder::evidence_age(time_point now, const backend_server_id& backend) const {
+    const auto found = loads_.find(backend);
+    if (found == loads_.end()) {
+        return duration::max();
+    }
+    if (found->second.running > 0) {
+        return duration{0}; // The unanswered statements are evidence of the load.
+    }
+    const auto newest = std::max(found->second.measured, found->second.reported_at);
+    return newest == time_point::min() ? duration::max() : now - newest;
+}
+
 } // namespace jackdawvane
--- a/src/core/sessions/statement_placement.cpp
+++ b/src/core/sessions/statement_placement.cpp
@@ -44,7 +44,8 @@
         }
         if (place(now, session, out)) {
             waiting_.erase(key);
-        } else if (!own_connection && session.work && session.work->tried.empty()) {
+        } else if (!own_connection && session.work && session.work->tried.empty() &&
+                   session.work->retry_at <= now) {
             exhausted.insert(requirement);
         }
     }
@@ -156,8 +157,7 @@
         const bool primary = leadership.primary() == backend;
         const bool confirmed_primary = primary && leadership.confirmed(now);
         if (registration.group != group || session.work->tried.contains(backend) ||
-            may_stop_soon(now, entry) || !forwarder_.open(now, backend) ||
-            (!required && !confirmed_primary)) {
+            may_stop_soon(now, entry) || (!required && !confirmed_primary)) {
             continue;
         }
         read_candidate candidate;
@@ -166,6 +166,8 @@
         candidate.mean_answer_time = forwarder_.latency(now, backend).value_or(duration{0});
         candidate.running = forwarder_.running(backend);
         candidate.slots = registration.slots;
+        candidate.report = forwarder_.report(now, backend);
+        candidate.refusing = !forwarder_.open(now, backend);
         candidate.primary = primary;
         candidate.last_used = session.last_backend == backend;
         const auto received = leadership.received(backend);
@@ -182,7 +184,7 @@
     if (!required) {
         state_.groups_awaiting_evidence.insert(routes_.at(session.id).group);
     }
-    const auto chosen = choose_backend(candidates(now, session, required), settings_.choice);
+    const auto chosen = choose_read(now, session, candidates(now, session, required), out);
     if (!chosen) {
         return false;
     }
--- a/tests/core/statement_forwarder_test.cpp
+++ b/tests/core/statement_forwarder_test.cpp
@@ -51,5 +51,98 @@
                                            result_case{"other_lease", "b", 5, 1, false}),
                          [](const auto& tested) { return std::string{tested.param.name}; });
 
+/// Sends statements to server p, whose owner is the VM b, and answers them.
+class ForwarderLoad : public ::testing::Test {
+  protected:
+    void SetUp() override {
+        fixture.state.live = {vm("a", "d2"), vm("b"), vm("c", "d2")};
+        fixture.state.fleet_version = 1;
+    }
+    void send(std::int64_t ms, std::uint64_t attempt) {
+        forwarded_statement statement;
+        statement.lease = *fixture.forwarder.acquire(at(ms), server);
+        statement.attempt = attempt_id{attempt};
+        statement.backend = server;
+        fixture.forwarder.send(at(ms), statement, fixture.out);
+        leases[attempt] = statement.lease;
+    }
+    void answer(std::int64_t ms, std::uint64_t attempt, attempt_result result) {
+        result.attempt = attempt_id{attempt};
+        result.lease = leases.at(attempt);
+        result.backend = server;
+        ASSERT_TRUE(fixture.forwarder.on_result(at(ms), vm_id{"b"}, result));
+    }
+
+    session_fixture fixture;
+    backend_server_id server{"p"};
+    std::map<std::uint64_t, connection_id> leases;
+};
+
+/// Guards against a report that counts without its age, or without what was sent after it.
+TEST_F(ForwarderLoad, KeepsTheReportWithItsAgeAndTheStatementsSentSince) {
+    attempt_result result;
+    result.answered = true;
+    result.sent = true;
+    result.load = server_load{3, 4, 4, std::chrono::milliseconds{14}};
+    EXPECT_FALSE(fixture.forwarder.report(at(0), server));
+    send(1, 1);
+    send(2, 2);
+    answer(10, 1, result);
+    send(20, 3);
+    send(21, 4);
+    const auto report = fixture.forwarder.report(at(40), server);
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->load, *result.load);
+    EXPECT_EQ(report->age, std::chrono::milliseconds{30});
+    EXPECT_EQ(report->sent_since, 2U);
+    result.load.reset();
+    answer(50, 2, result); // Was sent before the report, which counts it.
+    EXPECT_EQ(fixture.forwarder.report(at(50), server)->sent_since, 2U);
+    answer(51, 3, result);
+    EXPECT_EQ(fixture.forwarder.report(at(51), server)->sent_since, 1U);
+    EXPECT_FALSE(fixture.forwarder.report(at(20'000), server));
+}
+
+struct outcome_case {
+    const char* name;
+    bool answered;
+    bool sent;
+    bool unreachable;
+    statement_error problem;
+    bool counts;
+};
+
+class ForwarderOutcome : public ForwarderLoad,
+                         public ::testing::WithParamInterface<outcome_case> {};
+
+/// Guards against servers that are ejected because they are busy or because a VM is cut off.
+TEST_P(ForwarderOutcome, OnlyFailuresOfTheServerCount) {
+    attempt_result result;
+    result.answered = GetParam().answered;
+    result.sent = GetParam().sent;
+    result.unreachable = GetParam().unreachable;
+    result.reply.problem = GetParam().problem;
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+        send(static_cast<std::int64_t>(i) * 2000, i); // Beyond the time of an unreachable owner.
+        answer(static_cast<std::int64_t>(i) * 2000 + 1, i, result);
+    }
+    const auto verdict =
+        fixture.forwarder.health().judge(at(6010), {server, backend_server_id{"r1"}});
+    EXPECT_EQ(verdict.ejected.contains(server), GetParam().counts);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Outcomes, ForwarderOutcome,
+    ::testing::Values(
+        outcome_case{"failed", true, true, false, statement_error::failed, true},
+        outcome_case{"timeout", true, true, false, statement_error::timeout, true},
+        outcome_case{"lost", false, true, false, statement_error::none, true},
+        outcome_case{"done", true, true, false, statement_error::none, false},
+        outcome_case{"busy", true, true, false, statement_error::busy, false},
+        outcome_case{"lagging", true, true, false, statement_error::lagging, false},
+        outcome_case{"refused_by_the_owner", true, false, false, statement_error::busy, false},
+        outcome_case{"unreachable", false, false, true, statement_error::none, false}),
+    [](const auto& tested) { return std::string{tested.param.name}; });
+
 } // namespace
 } // namespace jackdawvane
