--- a/include/jackdawvane/limits/limiter_context.hpp
+++ b/include/jackdawvane/limits/limiter_context.hpp
@@ -18,6 +18,9 @@
         std::chrono::milliseconds{50}}; ///< As `pending`, before the share is confirmed.
     /// Whether a request may also wait for this VM's share to refill.
     bool waits_for_local_refill{false};
+    /// Whether requests for which no token is left wait in a queue by priority class, at the VM
+    /// that holds the share.
+    bool queues_by_class{false};
     /// Grants are accepted this long after the request.
     duration grant_validity{std::chrono::milliseconds{150}};
     duration lease{std::chrono::seconds{30}};
@@ -38,6 +41,7 @@
         return std::tuple{field("pending_us", &self::pending),
                           field("joining_us", &self::joining),
                           field("waits_for_own_share", &self::waits_for_local_refill),
+                          field("queues_by_class", &self::queues_by_class),
                           field("grant_validity_us", &self::grant_validity),
                           field("lease_us", &self::lease),
                           field("lease_renewal_us", &self::lease_renewal),
--- a/include/jackdawvane/node/peer.hpp
+++ b/include/jackdawvane/node/peer.hpp
@@ -259,13 +259,19 @@
     organisation_id organisation;
     double amount{0};      ///< Tokens requested.
     double waiting{0};     ///< Tokens needed by requests that wait already.
-    duration valid_for{0}; ///< Time after the request for which a grant is accepted.
+    duration valid_for{0}; ///< Time after the request, or its queueing, for a grant to arrive.
+    std::uint32_t priority{default_priority}; ///< Class of the waiting requests; 0 is the highest.
+    /// Time after arrival for which the request may queue; absent from VMs that do not queue.
+    std::optional<duration> queue_for;
 
     static constexpr auto fields() {
-        return std::tuple{
-            field("id", &token_request::id), field("organisation", &token_request::organisation),
-            field("amount", &token_request::amount), field("waiting", &token_request::waiting),
-            field("valid_for_us", &token_request::valid_for)};
+        return std::tuple{field("id", &token_request::id),
+                          field("organisation", &token_request::organisation),
+                          field("amount", &token_request::amount),
+                          field("waiting", &token_request::waiting),
+                          field("valid_for_us", &token_request::valid_for),
+                          field("priority", &token_request::priority),
+                          field("queue_for_us", &token_request::queue_for)};
     }
 };
 
@@ -275,12 +281,19 @@
     request_id id;
     organisation_id organisation;
     double amount{0};
-    double left{0}; ///< Tokens remaining at the donor; a hint for the next request.
+    double left{0};     ///< Tokens remaining at the donor; a hint for the next request.
+    duration queued{0}; ///< Time that the request waited at the donor.
+    duration wait{0};   ///< Expected wait of another request of the same class at the donor.
+    std::optional<duration> retry_after; ///< For a queueing request that is refused.
 
     static constexpr auto fields() {
         return std::tuple{field("id", &token_grant::id),
                           field("organisation", &token_grant::organisation),
-                          field("amount", &token_grant::amount), field("left", &token_grant::left)};
+                          field("amount", &token_grant::amount),
+                          field("left", &token_grant::left),
+                          field("queued_us", &token_grant::queued),
+                          field("wait_us", &token_grant::wait),
+                          field("retry_after_us", &token_grant::retry_after)};
     }
 };
 
@@ -289,10 +302,12 @@
     static constexpr const char* method = "tokens.acknowledgement";
     request_id id;
     organisation_id organisation;
+    double unused{0}; ///< Tokens of the grant that the sender returns.
 
     static constexpr auto fields() {
         return std::tuple{field("id", &token_acknowledgement::id),
-                          field("organisation", &token_acknowledgement::organisation)};
+                          field("organisation", &token_acknowledgement::organisation),
+                          field("unused", &token_acknowledgement::unused)};
     }
 };
 
