Queue requests for an organisation's rate at its holders by class

Cause: a holder without tokens answered 0 at once, so each entry VM waited 200 ms, refused and told its caller to come back after 2 ms, whatever the priority.

Change: with queues_by_class (SQL sessions), a request that finds no token waits in the queue of a holder, which serves the classes in order with a bounded share for the lower ones. It waits no longer than three quarters of its latency objective and its deadline. A request that can't get a token in time is refused at once, with a retry time that counts what waits and what was told to come back. Tokens whose request has ended are returned with the acknowledgement. Without the setting nothing changes. The accepted age of a grant is counted from its sending, so the settle time of shares holds.

--- a/include/jackdawvane/limits/rate_limiter.hpp
+++ b/include/jackdawvane/limits/rate_limiter.hpp
@@ -40,7 +40,9 @@
     void set_fleet(time_point now, std::span<const vm_entry> live, const std::set<vm_id>& gone,
                    actions& out);
 
-    /// @brief Decides on one request.
+    /// @brief Decides on one request; @a request names the organisation and the handle.
+    [[nodiscard]] admission admit(time_point now, const admission_request& request, actions& out);
+    /// @brief Decides on one request of the default class without a latency objective.
     /// @param handle identifies the request in `take_decisions` and `withdraw`
     /// @param deadline the request waits no longer than this
     [[nodiscard]] admission admit(time_point now, const organisation_id& organisation,
--- a/include/jackdawvane/node/peer.hpp
+++ b/include/jackdawvane/node/peer.hpp
@@ -262,7 +262,7 @@
     duration valid_for{0}; ///< Time after the request, or its queueing, for a grant to arrive.
     std::uint32_t priority{default_priority}; ///< Class of the waiting requests; 0 is the highest.
     /// Time after arrival for which the request may queue; absent from VMs that do not queue.
-    std::optional<duration> queue_for;
+    std::optional<duration> queue_for{};
 
     static constexpr auto fields() {
         return std::tuple{field("id", &token_request::id),
@@ -284,7 +284,7 @@
     double left{0};     ///< Tokens remaining at the donor; a hint for the next request.
     duration queued{0}; ///< Time that the request waited at the donor.
     duration wait{0};   ///< Expected wait of another request of the same class at the donor.
-    std::optional<duration> retry_after; ///< For a queueing request that is refused.
+    std::optional<duration> retry_after{}; ///< For a queueing request that is refused.
 
     static constexpr auto fields() {
         return std::tuple{field("id", &token_grant::id),
--- a/src/core/limits/organisation_limiter.cpp
+++ b/src/core/limits/organisation_limiter.cpp
@@ -21,6 +21,12 @@
 constexpr double prefetch_seconds = 1;
 /// It prefetches at least this fraction of its free capacity: single tokens take a message each.
 constexpr double prefetch_room_fraction = 0.4;
+/// One part in this many of a latency objective is left for the server's queue, the service time
+/// and the network.
+constexpr int objective_reserve_divisor = 4;
+/// Longest time that a request queues for tokens. The margin for clock drift grows with this time
+/// and has to stay below the validity of a grant.
+constexpr duration longest_queueing = std::chrono::seconds{1};
 constexpr duration shortest_retry = std::chrono::milliseconds{1};
 constexpr duration longest_retry = std::chrono::seconds{10};
 /// Longest time before the confirmation of an inherited part for which its refill is credited.
@@ -51,17 +57,29 @@
     update(now, out);
 }
 
-admission organisation_limiter::admit(time_point now, request_id handle, time_point deadline,
+admission organisation_limiter::admit(time_point now, const admission_request& request,
                                       actions& out) {
+    const auto handle = request.handle;
+    const auto deadline = request.deadline;
     record_arrival(now);
     sync_bucket_limits(now);
-    serve(now);
-    if (waiting_.empty() && take(now)) {
+    serve(now, out);
+    if (waiting_.empty() && queue_.empty() && take(now)) {
+        queue_.record_served(now, request.priority);
         return {handle, admission_state::admitted, {error_kind::none, {}, {}}};
     }
     maybe_request_share(now, out);
     const bool joins = ledger().target() && !uses_share() && !ledger().lapsed();
     const auto max_wait = joins ? context_.limits.joining : context_.limits.pending;
+    if (queues_by_class()) {
+        auto room = context_.limits.pending;
+        if (request.objective != no_deadline) {
+            const auto objective = std::max(duration{0}, request.objective - now);
+            room = std::min(objective - objective / objective_reserve_divisor, longest_queueing);
+        }
+        return admit_by_class(
+            now, request, std::min(deadline, now + (joins ? std::max(room, max_wait) : room)), out);
+    }
     const auto wait_deadline = std::min(deadline, now + max_wait);
     if (waiting_.size() >= max_waiting_requests || wait_deadline <= now) {
         last_shortage_ = now;
@@ -80,6 +98,7 @@
 
 void organisation_limiter::withdraw(request_id handle) {
     std::erase_if(waiting_, [&](const waiting_request& each) { return each.handle == handle; });
+    end_wait(handle);
 }
 
 void organisation_limiter::tick(time_point now, actions& out) {
@@ -87,7 +106,7 @@
 }
 
 time_point organisation_limiter::next_deadline(time_point now) const {
-    auto due = donors_.next_deadline();
+    auto due = std::min(donors_.next_deadline(), next_deadline_by_class(now));
     for (const auto& [key, open] : reservations_) {
         due = std::min(due, open.expiry);
     }
@@ -117,7 +136,8 @@
     credit_inherited_part(now);
     settle_expired(now);
     donors_.expire(now);
-    serve(now);
+    serve(now, out);
+    update_by_class(now, out);
     spend_partial_grants(now, out);
     request_tokens(now, out);
     refuse_unservable(now);
@@ -136,6 +156,7 @@
     if (part.rate != bucket_.rate() || part.burst != bucket_.capacity()) {
         bucket_.set_limits(now, part.rate, part.burst);
     }
+    queue_.set_service_rate(bucket_.rate());
 }
 
 /// The earlier incarnation of this VM ended before this one started; its part has refilled since.
@@ -164,10 +185,12 @@
     }
     const bool recently_short = now < last_shortage_ + shortage_window;
     const double kept = recently_short ? demand(now) * kept_seconds : 0;
-    return std::max(0.0, bucket_.tokens(now) - static_cast<double>(waiting_.size()) - kept);
+    return std::max(0.0, bucket_.tokens(now) -
+                             static_cast<double>(waiting_.size() + queue_.size()) - kept);
 }
 
-void organisation_limiter::serve(time_point now) {
+void organisation_limiter::serve(time_point now, actions& out) {
+    serve_queue(now, out);
     while (!waiting_.empty() && take(now)) {
         record_decision(admission_state::admitted, waiting_.front().handle, now);
         waiting_.erase(waiting_.begin());
@@ -192,15 +215,12 @@
     const bool own = uses_share();
     double missing = static_cast<double>(waiting_.size()) - donors_.outstanding() - partial_sum() -
                      (own ? bucket_.tokens(now) : 0);
-    const double deficit = std::max(0.0, demand(now) - bucket_.rate());
     while (missing > 0 && donors_.open() < parallel_requests) {
         const auto* donor = donors_.choose(now, group_.candidates());
         if (donor == nullptr || !request_budget_.take(now, 1)) {
             return;
         }
-        const double room = bucket_.capacity() - bucket_.reserved();
-        const double refill = std::max(deficit * prefetch_seconds, room * prefetch_room_fraction);
-        const double prefetch = own ? std::clamp(refill, 0.0, room / 2) : 0;
+        const double prefetch = prefetch_of(now);
         const double likely = donors_.estimate(now, *donor);
         if (fleet_limits_.burst * donor->fraction < 1) {
             // All that the donor has: only whole tokens can be used.
@@ -211,6 +231,17 @@
     }
 }
 
+/// Tokens that this VM requests in advance, to store them in its share.
+double organisation_limiter::prefetch_of(time_point now) const {
+    if (!uses_share()) {
+        return 0;
+    }
+    const double deficit = std::max(0.0, demand(now) - bucket_.rate());
+    const double room = std::max(0.0, bucket_.capacity() - bucket_.reserved());
+    const double refill = std::max(deficit * prefetch_seconds, room * prefetch_room_fraction);
+    return std::clamp(refill, 0.0, room / 2);
+}
+
 void organisation_limiter::send_request(time_point now, const token_donors::candidate& donor,
                                         double missing, double prefetch, actions& out) {
     const auto entry = context_.live.find(donor.vm);
@@ -225,9 +256,9 @@
     donors_.request_sent(id, donor.vm, std::min(missing, likely), now + validity);
     short_of_tokens_ = true;
     last_shortage_ = now;
-    out.emplace_back(
-        send_to_peer{donor.vm, entry->second.peer, peer_channel::stream,
-                     token_request{id, organisation_, missing + prefetch, missing, validity}});
+    out.emplace_back(send_to_peer{donor.vm, entry->second.peer, peer_channel::stream,
+                                  token_request{id, organisation_, missing + prefetch, missing,
+                                                validity, default_priority, std::nullopt}});
 }
 
 void organisation_limiter::refuse_unservable(time_point now) {
--- a/src/core/limits/organisation_limiter_peers.cpp
+++ b/src/core/limits/organisation_limiter_peers.cpp
@@ -48,11 +48,15 @@
                                    actions& out) {
     const auto entry = context_.live.find(from);
     const auto key = std::pair{from, message.id};
-    if (entry == context_.live.end() || reservations_.contains(key)) {
-        return; // A duplicate of an answered request; the grant may still arrive.
+    if (entry == context_.live.end() || reservations_.contains(key) ||
+        queued_remote_.contains(key)) {
+        return; // A duplicate of an answered or queued request; the grant may still arrive.
     }
     sync_bucket_limits(now);
-    serve(now);
+    serve(now, out);
+    if (queue_request(now, from, message, out)) {
+        return;
+    }
     const double free = free_tokens(now);
     const double waiting = std::clamp(message.waiting, 0.0, free);
     const double prefetch =
@@ -72,11 +76,14 @@
     }
     out.emplace_back(
         send_to_peer{from, entry->second.peer, peer_channel::stream,
-                     token_grant{message.id, organisation_, amount, free_tokens(now)}});
+                     token_grant{message.id, organisation_, amount, free_tokens(now), {}, {}, {}}});
 }
 
 void organisation_limiter::on_peer(time_point now, const vm_id& from, const token_grant& message,
                                    actions& out) {
+    if (accept_by_class(now, from, message, out)) {
+        return;
+    }
     const auto expiry = donors_.expiry_of(message.id);
     if (!donors_.accept_grant(now, message.id, from, message.amount, message.left)) {
         return;
@@ -94,11 +101,12 @@
     update(now, out);
 }
 
-void organisation_limiter::acknowledge(const vm_id& donor, request_id id, actions& out) const {
+void organisation_limiter::acknowledge(const vm_id& donor, request_id id, actions& out,
+                                       double unused) const {
     const auto entry = context_.live.find(donor);
     if (entry != context_.live.end()) {
         out.emplace_back(send_to_peer{donor, entry->second.peer, peer_channel::stream,
-                                      token_acknowledgement{id, organisation_}});
+                                      token_acknowledgement{id, organisation_, unused}});
     }
 }
 
@@ -139,6 +147,8 @@
     }
     sync_bucket_limits(now);
     bucket_.settle(now, found->second.amount);
+    // Returned tokens were in transit until now, so tokens and transit stay within the capacity.
+    bucket_.add(now, std::clamp(message.unused, 0.0, found->second.amount));
     reservations_.erase(found);
     update(now, out);
 }
@@ -214,7 +224,10 @@
     json["own_rate"] = bucket_.rate();
     json["tokens"] = bucket_.tokens(now);
     json["in_transit"] = bucket_.reserved();
-    json["waiting"] = static_cast<Json::UInt64>(waiting_.size());
+    json["waiting"] = static_cast<Json::UInt64>(waiting_.size() + waits_.size());
+    for (std::size_t i = 0; i < admission_queue::classes; ++i) {
+        json["queued_by_class"].append(static_cast<Json::UInt64>(queue_.size_of_class(i)));
+    }
     json["demand"] = demand(now);
     json["holders"] = static_cast<Json::UInt64>(ledger().record().holders.size());
     return json;
--- a/src/core/limits/rate_limiter.cpp
+++ b/src/core/limits/rate_limiter.cpp
@@ -118,6 +118,12 @@
 
 admission rate_limiter::admit(time_point now, const organisation_id& organisation,
                               request_id handle, time_point deadline, actions& out) {
+    return admit(now, {handle, organisation, default_priority, deadline, no_deadline}, out);
+}
+
+admission rate_limiter::admit(time_point now, const admission_request& request, actions& out) {
+    const auto& organisation = request.organisation;
+    const auto handle = request.handle;
     advance_time(now, out);
     auto* const found = find_or_create(now, organisation, now, out);
     if (found == nullptr) {
@@ -127,7 +133,7 @@
                  "organisation " + organisation.str() + " has no rate in the configuration",
                  {}}};
     }
-    auto decision = found->limiter.admit(now, handle, deadline, out);
+    auto decision = found->limiter.admit(now, request, out);
     if (decision.state == admission_state::pending) {
         pending_[handle] = found;
     }
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -51,6 +51,7 @@
     limits.pending = settings.token_wait;
     limits.joining = settings.joining_token_wait;
     limits.waits_for_local_refill = true;
+    limits.queues_by_class = true;
     limits.share_interval = settings.share_interval;
     limits.shares.join_spread = settings.share_join_jitter;
     limits.shares.settle = settings.share_settle_delay;
@@ -266,7 +267,7 @@
     if (!state_.configuration->organisations.contains(request.organisation)) {
         return {request.handle, admission_state::admitted, {error_kind::none, {}, {}}};
     }
-    return limiter_.admit(now, request.organisation, request.handle, request.deadline, out);
+    return limiter_.admit(now, request, out);
 }
 
 void session_proxy::withdraw(session_id session) {
