Turn admission by class and placement by load on by the platform's contracts

Cause: the new parts would act on every deployment, but only some call for them. Change: the settings template passes contracts; pressure turns the queue for an organisation's rate by priority class on, health the placement of reads by load, passive health checks and spillover. The soak plays with both.

--- a/include/jackdawvane/sessions/connection_owner.hpp
+++ b/include/jackdawvane/sessions/connection_owner.hpp
@@ -22,6 +22,7 @@
     duration lease_timeout{std::chrono::seconds{8}};
     /// The newest service time has the weight 1 / `service_time_divisor` in the moving average.
     int service_time_divisor{8};
+    bool reports_load{true}; ///< Results carry the load of their server.
     warm_up_settings warm_up;
 };
 
--- a/include/jackdawvane/sessions/session_proxy.hpp
+++ b/include/jackdawvane/sessions/session_proxy.hpp
@@ -24,6 +24,8 @@
     std::map<failure_domain_id, region_id> regions;
     std::uint64_t random_seed{1};
     evacuation_settings evacuations;
+    /// Requests for an organisation's rate wait at its holders, by priority class.
+    bool queues_by_class{false};
     /// VMs of each failure domain that hold a share of an organisation's rate.
     std::uint32_t holders_per_domain{3};
     /// VMs of all failure domains that hold a share of an organisation's rate.
--- a/include/jackdawvane/sessions/statement_executor.hpp
+++ b/include/jackdawvane/sessions/statement_executor.hpp
@@ -37,6 +37,9 @@
 
 /// @brief Time limits, delays and queue limits of the statement executor.
 struct executor_settings {
+    /// Reads are placed by the reported load of the fleet, by passive health checks and by
+    /// distance.
+    bool placement_by_load{true};
     chooser_settings choice;
     spillover_settings spillover;
     /// A read without an answer is hedged, that is also sent to another server, after its timeout
--- a/src/core/sessions/connection_owner.cpp
+++ b/src/core/sessions/connection_owner.cpp
@@ -161,6 +161,9 @@
 
 std::optional<server_load> connection_owner::due_load(const vm_id& entry,
                                                       const backend_server_id& backend) {
+    if (!settings_.reports_load) {
+        return {};
+    }
     return reporter_.due(present_, entry, backend, load_of(backend));
 }
 
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -52,7 +52,7 @@
     limits.pending = settings.token_wait;
     limits.joining = settings.joining_token_wait;
     limits.waits_for_local_refill = true;
-    limits.queues_by_class = true;
+    limits.queues_by_class = settings.queues_by_class;
     limits.share_interval = settings.share_interval;
     limits.shares.join_spread = settings.share_join_jitter;
     limits.shares.settle = settings.share_settle_delay;
--- a/src/core/sessions/statement_read_choice.cpp
+++ b/src/core/sessions/statement_read_choice.cpp
@@ -57,6 +57,10 @@
                                                                  caller_session& session,
                                                                  std::vector<read_candidate> found,
                                                                  proxy_output& out) {
+    if (!settings_.placement_by_load) {
+        std::erase_if(found, [](const auto& candidate) { return candidate.refusing; });
+        return choose_backend(found, settings_.choice);
+    }
     if (const auto probe = apply_health(now, session, found, out)) {
         return probe;
     }
--- a/tests/platform/entry_settings_test.cpp
+++ b/tests/platform/entry_settings_test.cpp
@@ -34,6 +34,32 @@
               std::chrono::seconds{5});
 }
 
+struct contract_effect {
+    const char* contracts;
+    bool queues_by_class;
+    bool placement_by_load;
+};
+
+/// Guards against new behaviour on deployments that do not call for it.
+class EntryContracts : public ::testing::TestWithParam<contract_effect> {};
+
+TEST_P(EntryContracts, TurnBehaviourOn) {
+    auto text = settings_text;
+    text.insert(text.rfind('}'), std::string{",\"contracts\":"} + GetParam().contracts);
+    settings_problems problems;
+    const auto settings = read_settings<entry_settings>(text, problems);
+    ASSERT_TRUE(settings) << describe_problems("text", problems);
+    const auto proxy = make_proxy_settings(*settings, vm_incarnation{1}, 2);
+    EXPECT_EQ(proxy.queues_by_class, GetParam().queues_by_class);
+    EXPECT_EQ(proxy.executor.placement_by_load, GetParam().placement_by_load);
+    EXPECT_EQ(proxy.owner.reports_load, GetParam().placement_by_load);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, EntryContracts,
+                         ::testing::Values(contract_effect{"[]", false, false},
+                                           contract_effect{R"(["base","pressure"])", true, false},
+                                           contract_effect{R"(["health","sql"])", false, true}));
+
 TEST(EntrySettings, LargerFleetsHaveFewerHoldersPerDomain) {
     settings_problems problems;
     auto settings = read_settings<entry_settings>(settings_text, problems);
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -140,7 +140,8 @@
                     session_listen=f'{address}:{SESSION_PORT}', ready_listen=f'{address}:{READY_PORT}',
                     peer_port=PEER_PORT, metrics_port=METRICS_PORT,
                     advertised_peer=f'{vm["net"]}.101:{PEER_PORT}',
-                    peer_secret='loopback-soak-secret', store=f'{self.site[:-1]}101:{STORE_PORT}',
+                    peer_secret='loopback-soak-secret', contracts=['pressure', 'health'],
+                    store=f'{self.site[:-1]}101:{STORE_PORT}',
                     promotion=f'{self.site[:-1]}101:{PROMOTION_PORT}', descriptors=1024, grace_s=6,
                     log=dict(level='info', output='stdout', lines_per_second=200))
 
