Give the load of an attempt result a default initializer

Cause: attempt_result::load has no initializer, so the aggregates in backend_sessions.cpp that leave it out fail to compile with GCC 12, -Wextra and -Werror (missing-field-initializers). Change: the member is initialized with {}. Result: backend_sessions.cpp compiles; backend_sessions_test, 4 tests, passes.

--- a/include/jackdawvane/sessions/messages.hpp
+++ b/include/jackdawvane/sessions/messages.hpp
@@ -301,10 +301,10 @@
     connection_id lease;
     backend_server_id backend;
     statement_reply reply;
-    bool answered{false};            ///< Whether the backend server, or the owner for it, replied.
-    bool sent{false};                ///< The statement may have reached the backend server.
-    bool unreachable{false};         ///< The VM cannot connect to the backend server.
-    std::optional<server_load> load; ///< Absent if the sender does not measure it.
+    bool answered{false};    ///< Whether the backend server, or the owner for it, replied.
+    bool sent{false};        ///< The statement may have reached the backend server.
+    bool unreachable{false}; ///< The VM cannot connect to the backend server.
+    std::optional<server_load> load{}; ///< Absent if the sender does not measure it.
 
     static constexpr auto fields() {
         using self = attempt_result;
