Hold every replica before a promotion, also through other VMs

Cause: a promotion went on after 1.5 s (0.3 s without an old primary) without silent replicas and did not hold replicas that registered during it. Change: advance_hold waits until each replica is held, refuses connections or has been out of the registry for 3.3 s; replicas that register meanwhile are held, and the fence starts again. While a replica is not held, VMs of other domains are asked to hold it (observation_query gains hold_servers, hold_term). A replica that was last listed more than 2.5 s before its status, or that registered or refused a connection in the last 5 s, proves nothing alone; with such replicas only, all are needed and the proof is as old as the oldest status. An attempt that is not needed resumes the replicas that it held. A server that answers no longer counts as refusing.

--- a/include/jackdawvane/node/peer.hpp
+++ b/include/jackdawvane/node/peer.hpp
@@ -331,11 +331,16 @@
     std::uint64_t number{0};
     std::uint64_t directory_version{0}; ///< Version of the directory at the sender.
     std::vector<group_id> groups;       ///< Groups whose servers are queried.
+    /// Replicas that the receiver holds on behalf of the failover coordinator.
+    std::vector<backend_server_id> hold_servers{};
+    term hold_term{}; ///< Term for which they are held.
 
     static constexpr auto fields() {
-        return std::tuple{field("number", &observation_query::number),
-                          field("directory_version", &observation_query::directory_version),
-                          field("groups", &observation_query::groups)};
+        using self = observation_query;
+        return std::tuple{
+            field("number", &self::number), field("directory_version", &self::directory_version),
+            field("groups", &self::groups), field("hold_servers", &self::hold_servers),
+            field("hold_term", &self::hold_term)};
     }
 };
 
--- a/include/jackdawvane/sessions/backend_directory.hpp
+++ b/include/jackdawvane/sessions/backend_directory.hpp
@@ -2,6 +2,7 @@
 
 #include "jackdawvane/foundation/time.hpp"
 #include "jackdawvane/node/store.hpp"
+#include "jackdawvane/sessions/group_leadership.hpp"
 
 #include <map>
 #include <optional>
@@ -28,7 +29,8 @@
         time_point leaving_since{no_deadline}; ///< When it was first listed as leaving.
         /// Time of the last read that listed it as not leaving; `min()` when there was none.
         time_point last_listed_staying{time_point::min()};
-        time_point absent_since{no_deadline}; ///< Missing after an outage of the registry.
+        time_point listed_at{time_point::min()}; ///< Time of the last read that listed it.
+        time_point absent_since{no_deadline};    ///< Missing after an outage of the registry.
     };
 
     explicit backend_directory(directory_settings settings = {}) : settings_{settings} {}
@@ -50,6 +52,8 @@
         return entries_;
     }
     [[nodiscard]] const entry* find(const backend_server_id& backend) const;
+    /// @brief Whether a read within `listing_validity` before @a when has listed @a backend.
+    [[nodiscard]] listing listed(const backend_server_id& backend, time_point when) const;
     [[nodiscard]] std::set<backend_server_id> members(const group_id& group) const;
     [[nodiscard]] std::set<group_id> groups() const;
 
--- a/include/jackdawvane/sessions/earlier_primaries.hpp
+++ b/include/jackdawvane/sessions/earlier_primaries.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace jackdawvane {
@@ -34,6 +35,15 @@
     /// @brief Records that a promotion of @a server is requested: earlier answers are no evidence.
     void on_promotion(const backend_server_id& server) { replica_at_.erase(server); }
 
+    /// @brief Servers of @a group that have left the registry lately.
+    [[nodiscard]] std::set<backend_server_id> departed(const group_id& group) const;
+    /// @brief Time of the first read of the registry without @a server.
+    [[nodiscard]] std::optional<time_point> departed_at(const backend_server_id& server) const;
+    /// @brief Whether @a server has refused a connection and has not answered since.
+    [[nodiscard]] bool refuses(const backend_server_id& server) const {
+        return refused_at_.contains(server);
+    }
+
     /// @brief Times from which evidence counts.
     struct evidence_start {
         time_point replica; ///< Answers as replica.
--- a/include/jackdawvane/sessions/failover_coordinator.hpp
+++ b/include/jackdawvane/sessions/failover_coordinator.hpp
@@ -20,11 +20,13 @@
     /// Time for VMs of other failure domains to report whether they reach the primary: covers
     /// their status interval and the round trips.
     duration confirmation_timeout{std::chrono::milliseconds{260}};
-    /// Longest wait for replicas to answer a hold; the promotion then continues without them.
-    duration hold_timeout{std::chrono::milliseconds{1500}};
-    /// As `hold_timeout`, when the old primary can no longer serve; also the wait for a leaving
-    /// primary to step down.
-    duration short_hold_timeout{std::chrono::milliseconds{300}};
+    /// Longest wait for a leaving primary to step down.
+    duration step_down_timeout{std::chrono::milliseconds{300}};
+    /// A hold that takes longer than this is logged, and is abandoned if the primary answers again.
+    duration hold_report_after{std::chrono::milliseconds{1500}};
+    /// A replica that has left the registry can prove no primary after this time: VMs use it alone
+    /// for `listing_validity`, and a proof is valid for `proof_validity`.
+    duration departure_timeout{listing_validity + std::chrono::milliseconds{800}};
     /// Proofs of the old primary have expired after this time; see `leadership_settings`.
     duration proof_validity{std::chrono::milliseconds{800}};
     /// Longest wait for a replica to receive the whole log of a primary that has stepped down.
@@ -46,11 +48,13 @@
 /// coordinator lease.
 ///
 /// A replacement first holds all replicas for the next term, so that none of them can prove the old
-/// primary any longer. It waits until the old primary cannot serve or all proofs have expired, then
-/// promotes the replica with the longest log. A replica that is still held after that stays so
-/// until no earlier primary can act: held for the new term, it does not prove the old primary. A
-/// leaving primary steps down first and a replica receives the rest of its log, so no commit is
-/// lost.
+/// primary any longer. It waits for each replica until it is held, by this VM or by another one on
+/// its behalf, refuses connections, or has left the registry for so long that no VM uses it as
+/// proof. Replicas that register meanwhile are held, too. It then waits until the old primary
+/// cannot serve or all proofs have expired, then promotes the replica with the longest log. A
+/// replica that is still held after that stays so until no earlier primary can act: held for the
+/// new term, it does not prove the old primary. A leaving primary steps down first and a replica
+/// receives the rest of its log, so no commit is lost.
 class failover_coordinator {
   public:
     failover_coordinator(fleet_state& state, group_observer& observer, coordinator_lease& lease,
@@ -75,13 +79,15 @@
         time_point started{};
         time_point step_until{no_deadline};
         time_point next_status{};
-        time_point held_at{};
+        time_point held_at{}; ///< When the last replica was held.
         /// No old primary is known, it refuses connections, or it has become a replica.
         bool old_primary_inactive{false};
         /// End of the old primary's log, once it has stepped down.
         std::optional<log_point> old_primary_log_end;
         /// End of each replica's log at its hold; empty until it is held.
         std::map<backend_server_id, std::optional<log_point>> replicas;
+        /// Replicas that were held when the attempt began, or whose status was not known.
+        std::set<backend_server_id> held_before;
         std::set<backend_server_id> not_running_servers; ///< According to the platform.
         backend_server_id candidate;
     };
@@ -104,8 +110,19 @@
     void call_promote(time_point now, const group_id& group, attempt& current, proxy_output& out);
     void advance_await_takeover(time_point now, const group_id& group, attempt& current,
                                 proxy_output& out);
+    [[nodiscard]] bool has_departed(time_point now, const backend_server_id& server) const;
+    /// Whether the promotion need not wait for @a server, which is not held.
+    [[nodiscard]] bool not_running(const backend_server_id& server, const attempt& current) const;
+    [[nodiscard]] bool all_held(const attempt& current) const;
+    void update_replicas(time_point now, const group_id& group, attempt& current,
+                         proxy_output& out);
+    void request_holds(time_point now, const group_id& group, attempt& current, proxy_output& out);
+    void apply_reports(attempt& current);
+    [[nodiscard]] bool primary_returned(const group_id& group, const attempt& current) const;
+    void abandon(time_point now, const group_id& group, const attempt& current, proxy_output& out);
+    void close_term(time_point now, const group_id& group, attempt& current, proxy_output& out);
     void report_hold(time_point now, const group_id& group, const attempt& current,
-                     proxy_output& out) const;
+                     const char* title, proxy_output& out) const;
     void resume(time_point now, const group_id& group, const backend_server_id& backend,
                 proxy_output& out);
     void end(time_point now, const group_id& group, const char* outcome, proxy_output& out);
--- a/include/jackdawvane/sessions/group_leadership.hpp
+++ b/include/jackdawvane/sessions/group_leadership.hpp
@@ -24,6 +24,19 @@
     duration min_sample_interval{std::chrono::milliseconds{40}};
 };
 
+/// A server that was not listed in a read of the registry within this time is no sufficient proof
+/// alone. The failover coordinator waits as long for a replica that has left the registry. Greater
+/// than the age of a list in operation, which is up to 1.9 s: two intervals of 0.9 s and delays.
+inline constexpr duration listing_validity{std::chrono::milliseconds{2500}};
+
+/// A replica that has registered or refused a connection proves nothing alone for this time. Longer
+/// than the coordinator lease of 4 s: a coordinator has read a list that names the replica, and has
+/// tried to reach it, or has lost its lease.
+inline constexpr duration joining_time{std::chrono::seconds{5}};
+
+/// @brief Whether the registry listed a server within `listing_validity` before a request to it.
+enum class listing { current, old };
+
 /// @brief A status that proves that a primary has not been replaced.
 struct primary_proof {
     backend_server_id primary;
@@ -37,8 +50,10 @@
 /// @brief What this VM can prove about the primary of one group.
 ///
 /// All times are those of this VM's clock from before the request was sent, so evidence is never
-/// treated as newer than it is. Before a promotion takes effect, every replica that could prove the
-/// old primary is held for the new term, or the old primary can no longer serve.
+/// treated as newer than it is. Before a promotion takes effect, every registered replica is held
+/// for the new term or refuses connections. A replica that the hold may have missed is no
+/// sufficient proof alone: one that the registry no longer lists, and one that has registered or
+/// has refused a connection since all others were last asked.
 class group_leadership {
   public:
     explicit group_leadership(leadership_settings settings = {}) : settings_{settings} {}
@@ -48,7 +63,7 @@
 
     /// @brief Applies a status of @a server for which the request was sent at @a requested_at.
     void on_status(time_point now, time_point requested_at, const backend_server_id& server,
-                   const server_status& status);
+                   const server_status& status, listing listed = listing::current);
     /// @brief Records that @a server refused a connection attempt that began at @a requested_at.
     void on_refused(time_point requested_at, const backend_server_id& server);
     /// @brief Applies the log position from an answer to a statement sent at @a requested_at.
@@ -88,6 +103,9 @@
     /// @brief Whether the last known primary has reported that it is now a replica.
     [[nodiscard]] bool stepped_down() const noexcept { return stepped_down_; }
 
+    /// @brief Whether the status of one replica is sufficient proof; otherwise all are needed.
+    [[nodiscard]] bool one_suffices() const noexcept { return one_suffices_; }
+
     /// @brief Whether a promotion has ended the current term.
     [[nodiscard]] bool closed() const noexcept;
 
@@ -97,6 +115,7 @@
         bool supports_primary{false}; ///< Answered, knows no newer term and is not held for one.
         bool held{false};
         bool refused{false};
+        listing listed{listing::current};
     };
     struct sample {
         time_point requested_at;
@@ -113,6 +132,10 @@
     jackdawvane::term term_;
     jackdawvane::term highest_;
     std::map<backend_server_id, evidence> evidence_;
+    /// Servers that have registered or refused a connection lately, with the time of the first
+    /// status request that they answered as replica since; `max()` when there is none.
+    std::map<backend_server_id, time_point> joining_;
+    bool one_suffices_{false};
     time_point confirmed_at_{time_point::min()};
     std::optional<primary_proof> proof_;
     time_point usable_from_{};
--- a/include/jackdawvane/sessions/group_observer.hpp
+++ b/include/jackdawvane/sessions/group_observer.hpp
@@ -100,6 +100,11 @@
     /// about @a groups and the registry.
     void query_other_domains(time_point now, const std::vector<group_id>& groups,
                              proxy_output& out);
+    /// @brief Asks the VMs of `query_other_domains` to hold @a servers of @a group for @a held_term
+    /// where they reach them, and to report their status.
+    void request_holds(time_point now, const group_id& group,
+                       const std::vector<backend_server_id>& servers, term held_term,
+                       proxy_output& out);
     /// @brief Queries the observers of the groups whose evidence statements wait for.
     void query_awaited_groups(time_point now, proxy_output& out);
 
@@ -120,6 +125,14 @@
     /// @brief Start of the last connection attempt to @a backend that was refused.
     [[nodiscard]] time_point refused_at(const backend_server_id& backend) const;
 
+    /// @brief Status of @a backend that another VM has reported last.
+    struct report {
+        time_point requested_at{};
+        server_status status;
+    };
+    /// @return null when there is none
+    [[nodiscard]] const report* reported(const backend_server_id& backend) const;
+
     /// @brief As `refused_at`, for connection attempts that other VMs reported.
     [[nodiscard]] time_point refused_by_others_at(const backend_server_id& backend) const;
 
@@ -178,6 +191,10 @@
     void query_directory(time_point now, proxy_output& out);
     void send_query(time_point now, const vm_id& to, std::vector<group_id> groups,
                     bool second_opinion, proxy_output& out);
+    void send_query(time_point now, const vm_id& to, observation_query query, bool second_opinion,
+                    proxy_output& out);
+    /// VMs that are queried for a second opinion on @a groups.
+    [[nodiscard]] std::set<vm_id> other_domains(const std::vector<group_id>& groups) const;
     void check_observer_answer(time_point now, const vm_id& from, const observation_reply& reply,
                                const std::vector<group_id>& groups);
     void check_reader_answer(time_point now, const vm_id& from, const observation_reply& reply,
@@ -195,6 +212,7 @@
     std::map<connection_id, backend_server_id> by_connection_;
     std::map<backend_server_id, observation> observations_;
     std::map<backend_server_id, time_point> refused_by_others_at_;
+    std::map<backend_server_id, report> reports_;
     std::vector<control_answer> answers_;
     time_point heard_{};
 
--- a/src/core/sessions/backend_directory.cpp
+++ b/src/core/sessions/backend_directory.cpp
@@ -26,6 +26,7 @@
         changed = changed || own.registration != registration;
         own.registration = registration;
         own.absent_since = no_deadline;
+        own.listed_at = std::max(own.listed_at, read_at);
         if (!registration.leaving) {
             own.leaving_since = no_deadline;
             own.last_listed_staying = std::max(own.last_listed_staying, read_at);
@@ -62,6 +63,12 @@
     return found == entries_.end() ? nullptr : &found->second;
 }
 
+listing backend_directory::listed(const backend_server_id& backend, time_point when) const {
+    const auto* found = find(backend);
+    return found != nullptr && when - found->listed_at <= listing_validity ? listing::current
+                                                                           : listing::old;
+}
+
 std::set<backend_server_id> backend_directory::members(const group_id& group) const {
     std::set<backend_server_id> found;
     for (const auto& [backend, own] : entries_) {
--- a/src/core/sessions/earlier_primaries.cpp
+++ b/src/core/sessions/earlier_primaries.cpp
@@ -45,6 +45,21 @@
     refused_at_[server] = requested_at;
 }
 
+std::set<backend_server_id> earlier_primaries::departed(const group_id& group) const {
+    std::set<backend_server_id> found;
+    for (const auto& [server, left] : departed_) {
+        if (left.group == group) {
+            found.insert(server);
+        }
+    }
+    return found;
+}
+
+std::optional<time_point> earlier_primaries::departed_at(const backend_server_id& server) const {
+    const auto found = departed_.find(server);
+    return found == departed_.end() ? std::nullopt : std::optional{found->second.at};
+}
+
 bool earlier_primaries::out_of_action(const backend_server_id& server,
                                       const evidence_start& since) const {
     const auto replica = replica_at_.find(server);
--- a/src/core/sessions/failover_coordinator.cpp
+++ b/src/core/sessions/failover_coordinator.cpp
@@ -124,7 +124,7 @@
                        " term=" + std::to_string(current.target_term.value())));
     if (planned) {
         current.step = phase::step_down;
-        current.step_until = now + settings_.short_hold_timeout;
+        current.step_until = now + settings_.step_down_timeout;
         send(now, *current.old_primary, command_kind::step_down, current.target_term, out);
     } else {
         current.step_until = now + settings_.confirmation_timeout;
@@ -153,7 +153,7 @@
         break;
     case phase::promote:
         if (now >= current.step_until) {
-            call_promote(now, group, current, out);
+            advance_fence(now, group, current, out);
         }
         break;
     case phase::await_takeover:
@@ -218,25 +218,6 @@
     }
 }
 
-void failover_coordinator::begin_hold(time_point now, const group_id& group, attempt& current,
-                                      proxy_output& out) {
-    current.step = phase::hold;
-    current.step_until = now + (current.old_primary_inactive || current.old_primary_log_end
-                                    ? settings_.short_hold_timeout
-                                    : settings_.hold_timeout);
-    for (const auto& server : state_.directory.members(group)) {
-        if (current.old_primary == server) {
-            if (!current.old_primary_log_end) {
-                send(now, server, command_kind::step_down, current.target_term, out);
-            }
-            continue;
-        }
-        current.replicas[server] = std::nullopt;
-        send(now, server, command_kind::hold, current.target_term, out);
-    }
-    current.next_status = now + settings_.retry_delay;
-}
-
 void failover_coordinator::on_control(time_point now, const control_answer& answer,
                                       proxy_output& out) {
     if (answer.status) {
@@ -255,8 +236,11 @@
             }
         }
         const auto replica = current.replicas.find(answer.backend);
+        const bool holding = current.step == phase::hold || current.step == phase::fence;
         if (replica != current.replicas.end() && answer.status->held_term >= current.target_term) {
             replica->second = answer.status->received;
+        } else if (replica != current.replicas.end() && holding) {
+            replica->second.reset(); // It has restarted, or has not received the hold yet.
         }
         advance(now, group, current, out);
     }
@@ -265,73 +249,6 @@
     }
 }
 
-void failover_coordinator::advance_hold(time_point now, const group_id& group, attempt& current,
-                                        proxy_output& out) {
-    const bool all =
-        std::all_of(current.replicas.begin(), current.replicas.end(), [&](const auto& each) {
-            return each.second || observer_.refused_at(each.first) > current.started;
-        });
-    if (!all && now < current.step_until) {
-        if (now >= current.next_status) {
-            current.next_status = now + settings_.retry_delay;
-            for (const auto& [server, point] : current.replicas) {
-                if (!point) {
-                    send(now, server, command_kind::hold, current.target_term, out);
-                }
-            }
-        }
-        return;
-    }
-    if (!enough_replicas_held(group, current) || !best_candidate(current)) {
-        current.step_until = now + settings_.retry_delay;
-        if (now - current.started > settings_.takeover_timeout) {
-            end(now, group, "failed: too few replicas answered the hold", out);
-        }
-        return;
-    }
-    report_hold(now, group, current, out);
-    current.held_at = now;
-    current.step = phase::fence;
-    auto& leadership = state_.leadership(group);
-    leadership.on_hold(now, current.old_term);
-    for (const auto& vm : state_.live) {
-        if (vm.vm != state_.self.vm) {
-            out.common.emplace_back(send_to_peer{vm.vm, vm.peer, peer_channel::stream,
-                                                 group_hold{group, current.old_term, duration{0}}});
-        }
-    }
-    advance_fence(now, group, current, out);
-}
-
-/// Logs each replica's state: held, or why the hold goes on without it.
-void failover_coordinator::report_hold(time_point now, const group_id& group,
-                                       const attempt& current, proxy_output& out) const {
-    std::string text = "hold term=" + promotion_log::term_text(current.target_term);
-    for (const auto& [server, point] : current.replicas) {
-        const bool refused = observer_.refused_at(server) > current.started;
-        text += " " + server.str() + "=" + (point ? "held" : refused ? "refused" : "silent");
-    }
-    log(out.common, promotion_log::component, log_level::info,
-        promotion_log::in_group(
-            group, text + " old_primary=" +
-                       (current.old_primary_log_end    ? "stepped_down"
-                        : current.old_primary_inactive ? "inactive"
-                                                       : "unknown") +
-                       " ms=" + std::to_string(to_milliseconds(now - current.started))));
-}
-
-/// With synchronous replicas, at least one of the held replicas must have every commit. A commit is
-/// on `sync_replicas` replicas at least, so fewer than that may be missing.
-bool failover_coordinator::enough_replicas_held(const group_id& group,
-                                                const attempt& current) const {
-    const auto* row = state_.find_group(group);
-    const std::size_t sync = row == nullptr ? 0 : row->sync_replicas;
-    const auto held = static_cast<std::size_t>(
-        std::count_if(current.replicas.begin(), current.replicas.end(),
-                      [](const auto& each) { return each.second.has_value(); }));
-    return sync == 0 ? held > 0 : held + sync > current.replicas.size();
-}
-
 std::optional<backend_server_id>
 failover_coordinator::best_candidate(const attempt& current) const {
     std::optional<backend_server_id> best;
@@ -356,6 +273,11 @@
     if (!current.old_primary_inactive && current.old_primary) {
         current.old_primary_inactive = observer_.refused_at(*current.old_primary) > current.started;
     }
+    update_replicas(now, group, current, out);
+    if (!all_held(current)) {
+        begin_hold(now, group, current, out);
+        return;
+    }
     if (current.old_primary_inactive || now >= current.held_at + settings_.proof_validity) {
         call_promote(now, group, current, out);
     }
@@ -364,7 +286,7 @@
 void failover_coordinator::call_promote(time_point now, const group_id& group, attempt& current,
                                         proxy_output& out) {
     const auto candidate = best_candidate(current);
-    if (!candidate || now - current.started > 2 * settings_.takeover_timeout) {
+    if (!candidate || now - current.held_at > 2 * settings_.takeover_timeout) {
         end(now, group, "failed: no replica could be promoted in time", out);
         return;
     }
--- a/src/core/sessions/group_leadership.cpp
+++ b/src/core/sessions/group_leadership.cpp
@@ -16,15 +16,22 @@
 } // namespace
 
 void group_leadership::set_members(std::set<backend_server_id> members) {
+    for (const auto& server : members) {
+        if (!members_.empty() && !members_.contains(server)) {
+            joining_[server] = time_point::max();
+        }
+    }
     members_ = std::move(members);
     const auto removed = [&](const auto& entry) { return !members_.contains(entry.first); };
+    std::erase_if(joining_, removed);
     std::erase_if(evidence_, removed);
     std::erase_if(received_, removed);
     update_proof();
 }
 
 void group_leadership::on_status(time_point now, time_point requested_at,
-                                 const backend_server_id& server, const server_status& status) {
+                                 const backend_server_id& server, const server_status& status,
+                                 listing listed) {
     auto& own = evidence_[server];
     if (requested_at < own.requested_at) {
         return;
@@ -44,7 +51,11 @@
     }
     const bool supports =
         status.role == backend_role::replica && status.term <= term_ && status.held_term <= term_;
-    own = {requested_at, supports, status.held_term > term_, false};
+    own = {requested_at, supports, status.held_term > term_, false, listed};
+    const auto joined = joining_.find(server);
+    if (joined != joining_.end() && supports) {
+        joined->second = std::min(joined->second, requested_at);
+    }
     update_proof();
     if (own.supports_primary && primary_ && primary_ != server) {
         proof_ = {*primary_, term_, server, status.term, status.held_term, requested_at};
@@ -73,7 +84,8 @@
 void group_leadership::on_refused(time_point requested_at, const backend_server_id& server) {
     auto& own = evidence_[server];
     if (requested_at >= own.requested_at) {
-        own = {requested_at, false, false, true};
+        own = {requested_at, false, false, true, listing::current};
+        joining_[server] = time_point::max();
         update_proof();
     }
 }
@@ -85,14 +97,18 @@
     }
 }
 
-/// One replica that is not held is sufficient proof while the previous proof is so recent that no
-/// promotion can have been missed. After a longer gap, every other server must have been asked: the
-/// replica may not have heard of a promotion, and another server may lead by now. Replicas that are
-/// down are proof only when all of them are: any other replica could have been promoted.
+/// One listed replica that is not held is sufficient proof while the previous proof is so recent
+/// that no promotion can have been missed. After a longer gap, every other server must have been
+/// asked: the replica may not have heard of a promotion, and another server may lead by now. The
+/// same holds for a replica that a hold may have left out (see `joining_` and `listing`); the proof
+/// is then as old as the oldest evidence, because a promotion may have held the others since.
+/// Replicas that are down are proof only when all of them are: any other replica could have been
+/// promoted.
 void group_leadership::update_proof() {
     auto all_down = time_point::max();
     auto all_free = time_point::max();
     auto newest_support = time_point::min();
+    auto newest_sufficient = time_point::min();
     auto oldest_evidence = time_point::max();
     bool others = false;
     for (const auto& server : members_) {
@@ -108,6 +124,9 @@
         const auto& own = found->second;
         if (own.supports_primary) {
             newest_support = std::max(newest_support, own.requested_at);
+            if (own.listed == listing::current && !joining_.contains(server)) {
+                newest_sufficient = std::max(newest_sufficient, own.requested_at);
+            }
         }
         const bool not_leading = own.supports_primary || own.refused;
         oldest_evidence =
@@ -116,13 +135,22 @@
         all_down = own.refused ? std::min(all_down, own.requested_at) : time_point::min();
     }
     const bool supported = newest_support != time_point::min();
-    const bool nothing_missed = !supported || confirmed_at_ == time_point::min() ||
-                                newest_support - confirmed_at_ <= shortest_promotion;
+    const bool sufficient = newest_sufficient != time_point::min() &&
+                            (confirmed_at_ == time_point::min() ||
+                             newest_sufficient - confirmed_at_ <= shortest_promotion);
+    if (sufficient) {
+        confirmed_at_ = std::max(confirmed_at_, newest_sufficient);
+    }
     const bool all_asked = supported && oldest_evidence != time_point::min() &&
                            newest_support - oldest_evidence <= shortest_promotion;
-    if (supported && (nothing_missed || all_asked)) {
-        confirmed_at_ = std::max(confirmed_at_, newest_support);
-    }
+    if (all_asked) {
+        confirmed_at_ = std::max({confirmed_at_, newest_sufficient, oldest_evidence});
+        std::erase_if(joining_, [&](const auto& each) {
+            return each.second < oldest_evidence && oldest_evidence - each.second >= joining_time;
+        });
+    }
+    one_suffices_ = newest_sufficient != time_point::min() &&
+                    newest_support - newest_sufficient < settings_.proof_validity;
     if (others && closed() && all_free > closed_since_ + settings_.promotion_abandoned_after) {
         closed_since_ = time_point::max(); // The promotion was abandoned and the hold ended.
     }
--- a/src/core/sessions/group_observer.cpp
+++ b/src/core/sessions/group_observer.cpp
@@ -153,6 +153,8 @@
         return;
     }
     state_.update_group_members();
+    std::erase_if(reports_,
+                  [&](const auto& each) { return state_.directory.find(each.first) == nullptr; });
     log(out.common, log_component, log_level::info,
         "registry version=" + std::to_string(version) + " backends=" + std::to_string(list.size()) +
             " source=" + source + " age_ms=" + age_text(now, read_at));
@@ -260,7 +262,8 @@
                                              const backend_directory::entry& entry) const {
     const auto& registration = entry.registration;
     const auto& leadership = state_.leaderships.at(registration.group);
-    const bool often = !leadership.confirmed(now) || leadership.primary() == registration.backend ||
+    const bool often = !leadership.confirmed(now) || !leadership.one_suffices() ||
+                       leadership.primary() == registration.backend ||
                        proving_replica(registration.group) == registration.backend;
     return often ? settings_.status_interval : settings_.slow_status_interval;
 }
@@ -400,8 +403,10 @@
     if (replied.status && entry != nullptr) {
         heard_ = std::max(heard_, command.at);
         observations_[backend] = {command.at, replied.status};
+        own.refused_at = time_point::min();
         state_.leadership(entry->registration.group)
-            .on_status(now, command.at, backend, *replied.status);
+            .on_status(now, command.at, backend, *replied.status,
+                       state_.directory.listed(backend, command.at));
     }
     return true;
 }
@@ -415,6 +420,11 @@
     return found == controls_.end() ? time_point::min() : found->second.refused_at;
 }
 
+const group_observer::report* group_observer::reported(const backend_server_id& backend) const {
+    const auto found = reports_.find(backend);
+    return found == reports_.end() ? nullptr : &found->second;
+}
+
 time_point group_observer::refused_by_others_at(const backend_server_id& backend) const {
     const auto found = refused_by_others_at_.find(backend);
     return found == refused_by_others_at_.end() ? time_point::min() : found->second;
--- a/src/core/sessions/group_observer_queries.cpp
+++ b/src/core/sessions/group_observer_queries.cpp
@@ -50,7 +50,7 @@
         return;
     }
     next_directory_query_ = now + settings_.directory_query_interval;
-    send_query(now, reader_, {}, false, out);
+    send_query(now, reader_, observation_query{}, false, out);
 }
 
 void group_observer::query_awaited_groups(time_point now, proxy_output& out) {
@@ -74,18 +74,24 @@
 
 void group_observer::send_query(time_point now, const vm_id& to, std::vector<group_id> groups,
                                 bool second_opinion, proxy_output& out) {
+    observation_query query;
+    query.groups = std::move(groups);
+    send_query(now, to, std::move(query), second_opinion, out);
+}
+
+void group_observer::send_query(time_point now, const vm_id& to, observation_query query,
+                                bool second_opinion, proxy_output& out) {
     const auto* vm = state_.find_vm(to);
     if (vm == nullptr) {
         return;
     }
-    observation_query query{++query_number_, state_.directory.version(), groups};
-    queries_[query_number_] = {to, now, std::move(groups), second_opinion};
+    query.number = ++query_number_;
+    query.directory_version = state_.directory.version();
+    queries_[query.number] = {to, now, query.groups, second_opinion};
     out.common.emplace_back(send_to_peer{to, vm->peer, peer_channel::stream, std::move(query)});
 }
 
-void group_observer::query_other_domains(time_point now, const std::vector<group_id>& groups,
-                                         proxy_output& out) {
-    next_other_domain_query_ = now + settings_.other_domain_query_interval;
+std::set<vm_id> group_observer::other_domains(const std::vector<group_id>& groups) const {
     const auto subject = groups.empty() ? std::string{task} : task + ("/" + groups.front().str());
     std::set<vm_id> targets;
     for (const auto& [domain, region] : state_.regions) {
@@ -98,17 +104,44 @@
             as_set(region_delegates(subject, region, state_.live, second_opinions_per_region)));
     }
     targets.erase(state_.self.vm);
-    for (const auto& vm : targets) {
+    return targets;
+}
+
+void group_observer::query_other_domains(time_point now, const std::vector<group_id>& groups,
+                                         proxy_output& out) {
+    next_other_domain_query_ = now + settings_.other_domain_query_interval;
+    for (const auto& vm : other_domains(groups)) {
         send_query(now, vm, groups, true, out);
     }
 }
 
+void group_observer::request_holds(time_point now, const group_id& group,
+                                   const std::vector<backend_server_id>& servers, term held_term,
+                                   proxy_output& out) {
+    for (const auto& vm : other_domains({group})) {
+        observation_query query;
+        query.groups = {group};
+        query.hold_servers = servers;
+        query.hold_term = held_term;
+        send_query(now, vm, std::move(query), true, out);
+    }
+}
+
 void group_observer::on_query(time_point now, const vm_id& from, const observation_query& query,
                               proxy_output& out) {
     const auto* vm = state_.find_vm(from);
     if (vm == nullptr) {
         return;
     }
+    for (const auto& backend : query.hold_servers) {
+        backend_command hold;
+        hold.kind = command_kind::hold;
+        hold.term = query.hold_term;
+        const bool sent = command(now, backend, std::move(hold), out);
+        log(out.common, log_component, log_level::info,
+            "hold backend=" + backend.str() + " term=" + std::to_string(query.hold_term.value()) +
+                " for=" + from.str() + " outcome=" + (sent ? "sent" : "not_connected"));
+    }
     observation_reply reply;
     reply.number = query.number;
     for (const auto& group : query.groups) {
@@ -211,7 +244,12 @@
                                        const member_observation& each) {
     auto& leadership = state_.leadership(each.group);
     if (each.status) {
-        leadership.on_status(now, requested_at, each.backend, *each.status);
+        leadership.on_status(now, requested_at, each.backend, *each.status,
+                             state_.directory.listed(each.backend, requested_at));
+        auto& last = reports_[each.backend];
+        if (requested_at >= last.requested_at) {
+            last = {requested_at, *each.status};
+        }
     } else {
         leadership.on_refused(requested_at, each.backend);
         refused_by_others_at_[each.backend] = requested_at;
--- a/tests/core/group_leadership_test.cpp
+++ b/tests/core/group_leadership_test.cpp
@@ -104,6 +104,48 @@
     EXPECT_TRUE(leadership.confirmed(at(14'110)));
 }
 
+/// Guards against a replica that registers after a hold and proves the old primary (issue 31).
+TEST_F(GroupLeadership, ReplicaThatRegisteredLatelyProvesNothingAlone) {
+    confirm_primary(0);
+    const backend_server_id r3{"r3"};
+    leadership.set_members({p, r1, r2, r3});
+    leadership.on_status(at(700), at(700), r3, replica_status(1, point(1, 5)));
+    EXPECT_FALSE(leadership.confirmed(at(810)));
+    const auto ask = [&](std::int64_t when, const backend_server_id& server) {
+        leadership.on_status(at(when), at(when), server, replica_status(1, point(1, 5)));
+    };
+    ask(820, r1);
+    ask(820, r2);
+    EXPECT_TRUE(leadership.confirmed(at(830)));
+    ask(1600, r3);
+    EXPECT_FALSE(leadership.confirmed(at(1630))) << "r1 and r2 may have been held since";
+    for (std::int64_t when = 1700; when <= 6000; when += 500) {
+        ask(when, r1);
+        ask(when, r2);
+        ask(when, r3);
+    }
+    ask(6400, r3);
+    EXPECT_TRUE(leadership.confirmed(at(7100))) << "it no longer joins";
+}
+
+/// Guards against a replica that was down during a hold, is back, and proves the old primary.
+TEST_F(GroupLeadership, ReplicaThatHasRefusedProvesNothingAlone) {
+    confirm_primary(0);
+    leadership.on_refused(at(100), r2);
+    leadership.on_status(at(700), at(700), r2, replica_status(1, point(1, 5)));
+    EXPECT_FALSE(leadership.confirmed(at(810)));
+}
+
+/// Guards against a replica that has left the registry, so that the hold does not wait for it, and
+/// proves the old primary to a VM with an older list.
+TEST_F(GroupLeadership, ReplicaOfAnOldListProvesNothingAlone) {
+    confirm_primary(0);
+    leadership.on_status(at(700), at(700), r2, replica_status(1, point(1, 5)), listing::old);
+    EXPECT_FALSE(leadership.confirmed(at(810)));
+    leadership.on_status(at(820), at(820), r1, replica_status(1, point(1, 5)), listing::old);
+    EXPECT_TRUE(leadership.confirmed(at(830))) << "with an old list all replicas together do";
+}
+
 // Another VM may still have a proof of the old primary and read data there that the new primary has
 // since changed.
 TEST_F(GroupLeadership, NewPrimaryWaitsForOldProofsToRunOut) {
--- a/tests/core/group_observer_test.cpp
+++ b/tests/core/group_observer_test.cpp
@@ -167,6 +167,27 @@
     EXPECT_GE(closed, own == 0 ? 3 : 0);
 }
 
+/// Guards against a hold on behalf of the failover coordinator that never reaches the replica.
+TEST(GroupObserver, HoldsAReplicaOnBehalfOfAnotherVm) {
+    observing_vm vm{7};
+    const auto other = vm.state.live[8].vm;
+    proxy_output out;
+    vm.observer.on_query(at(0), other, {1, 1, {group_at(3)}}, out);
+    const auto opened = vm.tick(at(10));
+    for (const auto& each : opened.sessions) {
+        if (const auto* start = std::get_if<open_server_connection>(&each)) {
+            vm.observer.on_ready(at(11), {start->connection, {}}, out);
+        }
+    }
+    out.sessions.clear();
+    vm.observer.on_query(at(20), other, {2, 1, {group_at(3)}, {backend_server_id{"g03b"}}, term{2}},
+                         out);
+    ASSERT_EQ(out.sessions.size(), 1U);
+    const auto& command = std::get<send_to_server>(out.sessions.front()).commands.front();
+    EXPECT_EQ(command.kind, command_kind::hold);
+    EXPECT_EQ(command.term, term{2});
+}
+
 /// Guards against a first answer that does not yet allow a read: the log position of the primary is
 /// recorded only with a proof, and the answer may list the primary before the replicas.
 TEST(GroupObserver, OneAnswerProvesThePrimaryAndItsPosition) {
