Let the relay of stale_promote.sh discard what a reset discards

Cause: Relay.copy reads a promotion call, waits for the end of the cut and writes it on before it reads again, so it learns only then that the sender has reset the connection. Its docstring, stale_promote.txt and DEPLOY.md say that such bytes are lost. The product resets a connection whose call has timed out. Change: the relay checks for a reset once data that was held up would arrive. The rule that the script checks is unchanged; a client that closes without a reset still fails it.

--- a/review/found/stale_promote.py
+++ b/review/found/stale_promote.py
@@ -56,6 +56,8 @@
         try:
             while data := await reader.read(65536):
                 await self.arrive(data)
+                if reader.exception():  # Reset while the data was held up: its sender has dropped it.
+                    raise reader.exception()
                 writer.write(data)
                 await writer.drain()
             await self.arrive(b'')
