Forget answers that a server can no longer repeat

Cause: reply_matcher compared the rows of a read and each error with all earlier answers of the connection. A list that had grown and a second equal refusal closed the connection, and could make an outcome unknown, however long after. Change: rows and errors are forgotten once a signed answer to a command that was sent more than 3 s after them is accepted. A server answers in order and repeats an answer at most 300 ms late; 3 s allow for a server at a tenth of its speed. member_doubtful_replies_total{cause} counts grown_rows and equal_refusal. Not covered: both cases within 3 s of the earlier answer, the usual distance of two busy answers under load, are still treated as unproved. The share of answers concerned under load was not measured.

--- a/src/core/sessions/backend_sessions.cpp
+++ b/src/core/sessions/backend_sessions.cpp
@@ -190,7 +190,7 @@
     const bool pending = !session.expected_replies.empty();
     const auto verdict = session.matcher.match(
         pending ? std::optional{session.expected_replies.front().form} : std::nullopt,
-        replied.reply);
+        replied.reply, {pending ? session.expected_replies.front().sent : time_point{}, now});
     if (verdict == reply_verdict::own) {
         apply_reply(now, replied, out);
     } else {
@@ -214,6 +214,10 @@
             " rows=" + std::to_string(replied.reply.rows.size()) +
             " outcome=" + (dropped ? "dropped" : "closed"));
     count(out.common, "member_foreign_replies_total", "verdict", to_string(verdict));
+    if (session.matcher.doubt() != reply_doubt::none) {
+        count(out.common, "member_doubtful_replies_total", "cause",
+              to_string(session.matcher.doubt()));
+    }
     if (dropped) {
         session.replace_when_released = true;
         return;
--- a/src/core/sessions/reply_matcher.cpp
+++ b/src/core/sessions/reply_matcher.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr const char* own_signature = "-"; ///< In answers to the proxy's own commands.
+/// Ten times the greatest delay of a second answer, as a server may slow down to a tenth of its
+/// speed.
+constexpr duration second_answer_window = std::chrono::milliseconds{3000};
 /// Answers that are remembered for one connection.
 constexpr std::size_t remembered_limit = 4096;
 
@@ -63,9 +66,34 @@
     return names.at(static_cast<std::size_t>(verdict));
 }
 
-reply_verdict reply_matcher::match(std::optional<reply_form> pending,
-                                   const statement_reply& reply) {
-    const bool repeated = !seen_.insert(fingerprint(reply)).second;
+const char* to_string(reply_doubt doubt) noexcept {
+    constexpr std::array<const char*, 3> names{"none", "grown_rows", "equal_refusal"};
+    return names.at(static_cast<std::size_t>(doubt));
+}
+
+/// @return whether an equal answer was known
+bool reply_matcher::remember(const statement_reply& reply, time_point received) {
+    const auto key = fingerprint(reply);
+    if (reply.problem == statement_error::none) {
+        return !seen_.insert(key).second;
+    }
+    const auto [known, created] = errors_.try_emplace(key, received);
+    known->second = std::max(known->second, received);
+    return !created;
+}
+
+void reply_matcher::forget_before(time_point sent) {
+    const auto settled = [&](const auto& each) {
+        return sent - each.second > second_answer_window;
+    };
+    std::erase_if(errors_, settled);
+    std::erase_if(rows_, settled);
+}
+
+reply_verdict reply_matcher::match(std::optional<reply_form> pending, const statement_reply& reply,
+                                   const reply_times& times) {
+    doubt_ = reply_doubt::none;
+    const bool repeated = remember(reply, times.received);
     if (!pending) {
         return repeated ? reply_verdict::extra : reply_verdict::unproved;
     }
@@ -75,7 +103,7 @@
     } else if (is_own_command(*pending)) {
         verdict = match_own_command(*pending, reply, repeated);
     } else {
-        verdict = match_statement(*pending, reply, repeated);
+        verdict = match_statement(*pending, reply, repeated, times);
     }
     if (verdict == reply_verdict::own) {
         accept(reply);
@@ -84,7 +112,7 @@
 }
 
 reply_verdict reply_matcher::match_statement(reply_form pending, const statement_reply& reply,
-                                             bool repeated) {
+                                             bool repeated, const reply_times& times) {
     if (!has_signature(reply) || repeated) {
         return reply_verdict::extra;
     }
@@ -93,9 +121,14 @@
         reply.state == transaction_state::idle || (!was_idle && reply.state == state_);
     const bool commits = !was_idle && reply.state == transaction_state::idle;
     const bool needs_no_row = pending == reply_form::write || commits;
-    if (!state_fits || (needs_no_row && !reply.rows.empty()) || may_have_foreign_rows(reply)) {
+    if (!state_fits || (needs_no_row && !reply.rows.empty())) {
+        return reply_verdict::unproved;
+    }
+    if (may_have_foreign_rows(reply, times.received)) {
+        doubt_ = reply_doubt::grown_rows;
         return reply_verdict::unproved;
     }
+    forget_before(times.sent);
     answer_may_follow_ = false; // A server answers in order.
     return reply_verdict::own;
 }
@@ -120,6 +153,7 @@
         state_ == transaction_state::idle && reply.state != transaction_state::idle;
     const bool may_be_earlier = answer_may_follow_ && pending != reply_form::session_value &&
                                 pending != reply_form::return_to_idle;
+    doubt_ = repeated ? reply_doubt::equal_refusal : reply_doubt::none;
     if (repeated || foreign_state || may_be_earlier || goes_back(reply) || !reply.rows.empty()) {
         return reply_verdict::unproved;
     }
@@ -128,7 +162,7 @@
 
 /// The second answer to an earlier read may be cut off, so that some of its rows precede those of
 /// this answer.
-bool reply_matcher::may_have_foreign_rows(const statement_reply& reply) {
+bool reply_matcher::may_have_foreign_rows(const statement_reply& reply, time_point received) {
     if (reply.rows.empty()) {
         return false;
     }
@@ -139,8 +173,10 @@
     }
     const std::pair<std::uint64_t, std::uint64_t> key{hash(reply.rows.front()), hash(all)};
     const auto same_start = rows_.lower_bound({key.first, 0});
-    const bool known_start = same_start != rows_.end() && same_start->first == key.first;
-    return rows_.insert(key).second && known_start;
+    const bool known_start = same_start != rows_.end() && same_start->first.first == key.first;
+    const auto [known, created] = rows_.try_emplace(key, received);
+    known->second = std::max(known->second, received);
+    return created && known_start;
 }
 
 bool reply_matcher::goes_back(const statement_reply& reply) const noexcept {
@@ -156,7 +192,7 @@
 }
 
 bool reply_matcher::exhausted() const noexcept {
-    return seen_.size() >= remembered_limit;
+    return seen_.size() + errors_.size() >= remembered_limit;
 }
 
 } // namespace jackdawvane
