Send no rollback to an evacuated domain after the bound

Cause: a failed transaction kept its connection until its caller ended it, and the owner then sent a rollback, which is a request to the domain. A successor that is leaving counted for the executor but not for the coordinator, so that statements waited for a promotion that does not come. Change: failed transactions give up their connection like open ones, and the owner closes the connections of blocked servers instead of rolling back or resetting them. A leaving server is no successor in either place. /status lists the evacuated domains.

--- a/include/jackdawvane/sessions/statement_executor.hpp
+++ b/include/jackdawvane/sessions/statement_executor.hpp
@@ -191,8 +191,7 @@
                                   const backend_directory::entry& backend) const;
     [[nodiscard]] bool may_read_at(time_point now, const caller_session& session,
                                    const backend_directory::entry& backend) const;
-    [[nodiscard]] std::optional<std::string> unservable_reason(time_point now,
-                                                               const caller_session& session);
+    [[nodiscard]] std::optional<std::string> unservable_reason(const caller_session& session);
     [[nodiscard]] bool refuse_if_unservable(time_point now, caller_session& session,
                                             proxy_output& out);
     [[nodiscard]] bool abort_if_evacuated(time_point now, caller_session& session,
--- a/src/core/sessions/connection_owner.cpp
+++ b/src/core/sessions/connection_owner.cpp
@@ -177,8 +177,10 @@
         return;
     }
     const auto connection = bound->second.connection;
+    // A rollback or reset would be a request to the evacuated domain; closing has the same effect.
+    const bool evacuated = state_.evacuation_blocks(now, bound->second.backend);
     leases_.erase(bound);
-    if (release.discard) {
+    if (release.discard || evacuated) {
         backends_.discard(connection, out);
     } else {
         backends_.release(now, connection, release.in_transaction, out);
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -299,6 +299,9 @@
     for (const auto& vm : state_.live) {
         json["fleet"].append(to_json(vm));
     }
+    for (const auto& domain : state_.evacuations.last().domains) {
+        json["evacuated_domains"].append(domain.str());
+    }
     for (const auto& [group, leadership] : state_.leaderships) {
         auto& group_json = json["groups"][group.str()];
         group_json["term"] = to_json(leadership.term());
--- a/src/core/sessions/statement_refusal.cpp
+++ b/src/core/sessions/statement_refusal.cpp
@@ -23,8 +23,7 @@
 }
 
 /// Why no server can run the session's statement, now or after a promotion; nothing if one may.
-std::optional<std::string> statement_executor::unservable_reason(time_point now,
-                                                                 const caller_session& session) {
+std::optional<std::string> statement_executor::unservable_reason(const caller_session& session) {
     const auto& evacuations = state_.evacuations;
     const auto& route = routes_.at(session.id);
     if (evacuations.empty() && !route.regions.restricted()) {
@@ -58,7 +57,7 @@
         return "the primary is outside the allowed regions";
     }
     const bool has_successor = std::any_of(members.begin(), members.end(), [&](const auto& server) {
-        return usable(server) && !may_stop_soon(now, *state_.directory.find(server));
+        return usable(server) && !state_.directory.find(server)->registration.leaving;
     });
     if (excluded(*primary) && !has_successor) {
         return "the primary is in an evacuated failure domain";
@@ -72,7 +71,7 @@
     if (session.transaction.opened || session.work->step == work_step::running) {
         return false;
     }
-    const auto reason = unservable_reason(now, session);
+    const auto reason = unservable_reason(session);
     if (!reason) {
         return false;
     }
@@ -91,7 +90,7 @@
 bool statement_executor::abort_if_evacuated(time_point now, caller_session& session,
                                             proxy_output& out) {
     const auto& transaction = session.transaction;
-    if (transaction.state != transaction_state::open || transaction.lease == connection_id{} ||
+    if (transaction.state == transaction_state::idle || transaction.lease == connection_id{} ||
         !state_.evacuation_blocks(now, transaction.backend)) {
         return false;
     }
--- a/tests/core/statement_evacuation_test.cpp
+++ b/tests/core/statement_evacuation_test.cpp
@@ -173,6 +173,25 @@
                                            open_transaction_case{"running", true}),
                          [](const auto& tested) { return std::string{tested.param.name}; });
 
+/// Guards against a rollback that reaches the domain after the bound, when the caller ends a failed
+/// transaction late.
+TEST_F(StatementEvacuation, FailedTransactionGivesItsConnectionUpBeforeTheBound) {
+    send(10, make_statement(statement_kind::begin, "BEGIN"));
+    send(20, write_one());
+    fixture.reply(21, used.back(), done(transaction_state::open, point(1, 10)));
+    fixture.commands();
+    fixture.answers(); // Of the begin.
+    fixture.reply(22, used.back(), failure(statement_error::failed, transaction_state::failed));
+    EXPECT_EQ(fixture.answers().size(), 1U);
+    evacuate(1000, {"d1"});
+    fixture.tick(4005);
+    EXPECT_EQ(fixture.take<close_server_connection>().size(), 1U);
+    EXPECT_TRUE(send(6000, make_statement(statement_kind::rollback, "ROLLBACK")).empty());
+    const auto answers = fixture.answers();
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().problem, statement_error::none);
+}
+
 /// Guards against a VM that starts while an evacuation is in effect and sends statements to the
 /// domain before it knows of it.
 TEST_F(StatementEvacuation, NothingIsSentWhileNoListIsKnown) {
