Count and log forwards that a region's restriction sends to another owner

Cause: the choice of another owner for a restricted statement left no trace, and its test did not show that the usual owner is ever passed over. Change: region_restricted_forwards_total and a debug log line per statement; the test counts how often the unrestricted statement goes to the other region.

--- a/include/jackdawvane/sessions/statement_forwarder.hpp
+++ b/include/jackdawvane/sessions/statement_forwarder.hpp
@@ -69,6 +69,7 @@
     struct held_lease {
         vm_id owner;
         backend_server_id backend;
+        bool restricted{false}; ///< The usual owner may not have the text of the statements.
     };
     struct cached_owner {
         location place;
--- a/src/core/sessions/statement_forwarder.cpp
+++ b/src/core/sessions/statement_forwarder.cpp
@@ -84,7 +84,11 @@
         return {};
     }
     const auto id = ids_.next();
-    leases_[id] = {*owner, backend};
+    const auto usual = default_owner(backend, *state_.directory.find(backend));
+    const auto* usual_vm = usual && usual != owner ? state_.find_vm(*usual) : nullptr;
+    leases_[id] = {*owner, backend,
+                   usual_vm != nullptr &&
+                       !regions.may_have_text(usual_vm->place.region, state_.self.place.region)};
     return id;
 }
 
@@ -103,6 +107,12 @@
         return;
     }
     const auto& held = found->second;
+    if (held.restricted) {
+        count(out.common, "region_restricted_forwards_total");
+        log(out.common, "regions", log_level::debug,
+            "usual owner passed over request=" + statement.main.id.str() +
+                " backend=" + held.backend.str() + " owner=" + held.owner.str());
+    }
     if (held.owner == state_.self.vm) {
         owner_.submit(now, state_.self.vm, std::move(statement), out);
         return;
--- a/tests/core/region_policy_test.cpp
+++ b/tests/core/region_policy_test.cpp
@@ -140,13 +140,16 @@
     fixture.state.live = {fixture.state.self, far, near};
     fixture.state.fleet_version = 1;
     EXPECT_EQ(sent_to(region_policy{route, nullptr}), "c");
+    int passed_over = 0;
     // Without a VM in the server's region, any VM may be its owner.
     for (std::uint64_t version = 2; version < 20; ++version) {
         far.vm = vm_id{"b" + std::to_string(version)};
         fixture.state.live = {fixture.state.self, far};
         fixture.state.fleet_version = version;
         EXPECT_EQ(sent_to(region_policy{route, nullptr}), "a");
+        passed_over += sent_to({}) == far.vm.str() ? 1 : 0;
     }
+    EXPECT_GT(passed_over, 0) << "the usual owner was never in the other region";
 }
 
 } // namespace
