Judge distances without the session's preference; test refusals nearby

The bonus of the server that a session used last (4 ms) counted as a gain of its zone, above the margin of 3 ms; the spillover's costs now leave it out. Tests were missing for reads that wait for the end of a refusal nearby, and for a failed write, which must not be sent again.

--- a/src/core/sessions/backend_chooser.cpp
+++ b/src/core/sessions/backend_chooser.cpp
@@ -72,6 +72,7 @@
 std::vector<duration> costs_of(const std::vector<read_candidate>& candidates,
                                const chooser_settings& settings) {
     std::vector<duration> costs;
+    costs.reserve(candidates.size());
     for (const auto& candidate : candidates) {
         costs.push_back(read_cost(candidate, settings));
     }
@@ -104,6 +105,7 @@
     }
     const auto limit = *least + std::max(duration{0}, *least) / 2 + settings.near_margin;
     std::vector<std::uint64_t> weights;
+    weights.reserve(costs.size());
     std::uint64_t sum = 0;
     for (const auto cost : costs) {
         weights.push_back(cost < limit ? static_cast<std::uint64_t>((limit - cost).count()) : 0);
--- a/src/core/sessions/statement_read_choice.cpp
+++ b/src/core/sessions/statement_read_choice.cpp
@@ -57,7 +57,7 @@
                                                                  caller_session& session,
                                                                  std::vector<read_candidate> found,
                                                                  proxy_output& out) {
-    if (const auto probe = apply_health(now, session, found, out)) {
+    if (auto probe = apply_health(now, session, found, out)) {
         return probe;
     }
     const bool available = std::any_of(found.begin(), found.end(),
@@ -115,10 +115,11 @@
 statement_executor::spillover_costs(time_point now,
                                     const std::vector<read_candidate>& found) const {
     spillover_input costs;
-    for (const auto& candidate : found) {
+    for (auto candidate : found) {
         if (!fit(candidate)) {
             continue;
         }
+        candidate.last_used = false; // A property of the session, not of the distance.
         // A refused statement is tried again after `retry_delay`.
         const auto backoff = candidate.refusing ? settings_.retry_delay : duration{0};
         const zone_cost cost{read_cost(candidate, settings_.choice) + backoff,
--- a/tests/core/read_choice_test.cpp
+++ b/tests/core/read_choice_test.cpp
@@ -115,5 +115,49 @@
     EXPECT_EQ(failures, 0);
 }
 
+/// Guards against reads that leave the region all at once because the near servers refuse
+/// statements for some milliseconds, and against a refusal by the last server that has room.
+TEST_F(ReadChoice, WaitsForTheEndOfARefusalNearbyInsteadOfLeaving) {
+    move_r2_away();
+    const auto refusal = failure(statement_error::busy, transaction_state::idle);
+    fixture.send_statement(10, make_statement(statement_kind::read, "READ 1"));
+    std::vector<std::string> order;
+    for (now = 11; order.size() < 3 && now < 20; ++now) {
+        fixture.accept(now);
+        for (const auto& [connection, command] : fixture.commands()) {
+            order.push_back(fixture.connected_servers[connection].str());
+            const bool near = order.back() != "r2";
+            fixture.reply(now, connection,
+                          near ? refusal : success(transaction_state::idle, point(1, 10)));
+        }
+    }
+    ASSERT_EQ(order, (std::vector<std::string>{"r1", "p", "r2"}));
+    ASSERT_EQ(fixture.answers().size(), 1U);
+
+    fixture.send_statement(20, make_statement(statement_kind::read, "READ 1"));
+    fixture.tick(25);
+    EXPECT_TRUE(fixture.commands().empty());
+    fixture.tick(45);
+    fixture.accept(46);
+    const auto sent = fixture.commands();
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(fixture.connected_servers[sent.front().first], backend_server_id{"r1"});
+}
+
+/// Guards against a write that is done twice: one that ran and failed is not sent to another
+/// server.
+TEST_F(ReadChoice, WriteThatFailedIsNotSentAgain) {
+    fixture.send_statement(10, make_statement(statement_kind::write, "WRITE 1 x"));
+    fixture.accept(11);
+    const auto sent = fixture.commands();
+    ASSERT_EQ(sent.size(), 1U);
+    fixture.reply(12, sent.front().first,
+                  failure(statement_error::failed, transaction_state::idle));
+    EXPECT_TRUE(fixture.commands().empty());
+    const auto answers = fixture.answers();
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().problem, statement_error::failed);
+}
+
 } // namespace
 } // namespace jackdawvane
