Initialise the load of a result that a connection reports

Cause: attempt_result gained the field load. Two initialisers omit it, which is an error with -Wextra -Werror, so the core did not compile in a fresh build folder. Change: the two initialisers name it; its value is unchanged. Result: backend_sessions.cpp and the core library compile in the build folder.

--- a/src/core/sessions/backend_sessions.cpp
+++ b/src/core/sessions/backend_sessions.cpp
@@ -235,15 +235,27 @@
         if (position) {
             state_.leadership(session.group).on_position(ended.sent, session.backend, *position);
         }
-        results_.push_back(
-            {ended.attempt, replied.connection, session.backend, replied.reply, true, true, false});
+        results_.push_back({ended.attempt,
+                            replied.connection,
+                            session.backend,
+                            replied.reply,
+                            true,
+                            true,
+                            false,
+                            {}});
     } else if (ended.kind == reply_kind::setup && !failed && session.pending_main) {
         send_pending(now, replied.connection, ended.attempt, out);
     } else if (ended.kind == reply_kind::begin && session.pending_main) {
         if (failed) {
             session.pending_main.reset();
-            results_.push_back({ended.attempt, replied.connection, session.backend, replied.reply,
-                                true, false, false});
+            results_.push_back({ended.attempt,
+                                replied.connection,
+                                session.backend,
+                                replied.reply,
+                                true,
+                                false,
+                                false,
+                                {}});
         } else {
             send_pending(now, replied.connection, ended.attempt, out);
         }
