--- a/include/jackdawvane/limits/admission_queue.hpp
+++ b/include/jackdawvane/limits/admission_queue.hpp
@@ -34,13 +34,7 @@
     organisation_id organisation;
     std::uint32_t priority{0};        ///< 0 is the highest class.
     std::uint32_t weight{1};          ///< Of the organisation within the class.
-    time_point deadline{no_deadline}; ///< The entry leaves the queue at this time.
-    /// Order within the organisation, if not by `deadline`.
-    time_point time_limit{no_deadline};
-
-    [[nodiscard]] time_point order() const noexcept {
-        return time_limit == no_deadline ? deadline : time_limit;
-    }
+    time_point deadline{no_deadline}; ///< The entry is of no use from this time on.
 };
 
 /// @brief Decides which waiting request is served next, which can be served in time, and when a
@@ -49,7 +43,7 @@
 /// Designed for overload: more requests than tokens or slots for longer than they may wait. The
 /// highest class is served first; each lower class with entries gets `lower_class_share` of the
 /// service, so none starves. Within a class organisations are served by deficit round robin, within
-/// an organisation the entry with the earliest time limit goes first.
+/// an organisation the entry with the earliest deadline goes first.
 ///
 /// It has neither a clock nor I/O; every call is passed the time.
 class admission_queue {
@@ -109,7 +103,7 @@
   private:
     using order = std::pair<time_point, request_id>;
     struct organisation_queue {
-        std::map<order, admission_entry> entries; ///< Earliest time limit first.
+        std::map<order, admission_entry> entries; ///< Earliest deadline first.
         std::uint32_t weight{1};
         std::uint64_t credit{0};
         std::list<organisation_id>::iterator turn;
@@ -125,7 +119,7 @@
     struct place {
         std::size_t index;
         organisation_id organisation;
-        order key;
+        time_point deadline;
     };
 
     [[nodiscard]] std::size_t next_class() const noexcept;
--- a/include/jackdawvane/sessions/backend_sessions.hpp
+++ b/include/jackdawvane/sessions/backend_sessions.hpp
@@ -113,8 +113,6 @@
     [[nodiscard]] bool recently_failed(time_point now, const backend_server_id& backend) const;
     /// @brief Statements in progress at @a backend on connections of this VM.
     [[nodiscard]] std::uint32_t running(const backend_server_id& backend) const;
-    /// @brief Statements that may be in progress at @a backend at the same time.
-    [[nodiscard]] std::uint32_t concurrency(const backend_server_id& backend) const;
     [[nodiscard]] std::size_t size() const noexcept { return sessions_.size(); }
     /// @brief Closes the idle connections to @a backend.
     void close_idle(const backend_server_id& backend, proxy_output& out);
--- a/include/jackdawvane/sessions/connection_owner.hpp
+++ b/include/jackdawvane/sessions/connection_owner.hpp
@@ -1,21 +1,19 @@
 #pragma once
 
-#include "jackdawvane/limits/admission_queue.hpp"
+#include "jackdawvane/limits/fair_queue.hpp"
 #include "jackdawvane/sessions/backend_sessions.hpp"
 
-#include <array>
 #include <map>
-#include <string>
 #include <vector>
 
 namespace jackdawvane {
 
 /// @brief Limits of the queues for backend servers.
 struct owner_settings {
-    /// Largest number of statements of one organisation and class that wait for one backend server.
+    /// Largest number of statements of one organisation that wait for one backend server.
     std::size_t queue_limit{64};
-    /// A statement that another server can run is returned as not run if it waits longer, so that
-    /// its entry VM retries it there. Others wait until their time limit.
+    /// A statement that waits longer is returned as not run, so that its entry VM retries it on
+    /// another server.
     duration queue_timeout{std::chrono::milliseconds{250}};
     /// A lease without a statement for longer than this expires; its entry VM is considered gone.
     duration lease_timeout{std::chrono::seconds{8}};
@@ -32,9 +30,9 @@
 /// @brief Runs the statements of all entry VMs on the connections that this VM owns.
 ///
 /// Designed for overload: more statements than slots, and one organisation that sends many times
-/// its usual rate. An `admission_queue` for each server decides which statement gets the next slot.
-/// A full queue refuses statements at once, and so does one that can't serve them in time by the
-/// measured service time. While a slot is free nothing is refused.
+/// its usual rate. Organisations are served in turn, by their weights. A full queue refuses
+/// statements at once, and a statement that has not started within the queue timeout is returned
+/// as not run.
 class connection_owner {
   public:
     connection_owner(fleet_state& state, backend_sessions& backends, owner_settings settings);
@@ -76,23 +74,13 @@
     struct running {
         lease_key key;
         attempt_id attempt;
-        backend_server_id backend;
         time_point started{};
     };
-    struct server_queue {
-        admission_queue order;
-        std::map<request_id, queued> statements;
-    };
 
     void start(time_point now, queued next, connection_id connection, proxy_output& out);
-    void drain(time_point now, const backend_server_id& backend, server_queue& queue,
+    void drain(time_point now, const backend_server_id& backend, fair_queue<queued>& queue,
                proxy_output& out);
-    void expire(time_point now, server_queue& queue, proxy_output& out);
-    [[nodiscard]] server_queue& queue_of(time_point now, const backend_server_id& backend);
-    [[nodiscard]] duration service_time(time_point now, const backend_server_id& backend) const;
-    [[nodiscard]] admission_entry entry_of(time_point now, const forwarded_statement& statement);
-    void refuse(time_point now, const queued& entry, const char* reason, proxy_output& out);
-    void report_queues(proxy_output& out);
+    void expire(time_point now, fair_queue<queued>& queue);
     void report_not_run(const queued& entry, statement_error problem);
     void report(const vm_id& entry, attempt_result result);
     void measure(const backend_server_id& backend, duration service_time);
@@ -103,14 +91,11 @@
     owner_settings settings_;
     id_sequence<request_id> queue_ids_;
     id_sequence<attempt_id> attempt_ids_;
-    std::map<backend_server_id, server_queue> queues_;
+    std::map<backend_server_id, fair_queue<queued>> queues_;
     std::map<lease_key, lease> leases_;
     std::map<attempt_id, running> running_;
     std::map<backend_server_id, duration> service_times_; ///< Moving averages.
     std::vector<owner_result> results_;
-    std::array<std::size_t, admission_queue::classes> reported_waiting_{}; ///< Last gauge values.
-    time_point next_log_at_{time_point::min()};
-    int unlogged_{0};            ///< Refusals since the last log line.
     time_point backlog_until_{}; ///< Earlier arrivals may have waited during a pause.
 };
 
--- a/src/core/limits/admission_queue.cpp
+++ b/src/core/limits/admission_queue.cpp
@@ -47,13 +47,13 @@
 }
 
 /// Entries of the same class that are served before @a entry: those of its own organisation with an
-/// earlier time limit, and of each other organisation as many as their weights allow meanwhile.
+/// earlier deadline, and of each other organisation as many as their weights allow meanwhile.
 double admission_queue::entries_ahead(const class_queue& own, const admission_entry& entry) const {
     double earlier{0};
     if (const auto same = own.organisations.find(entry.organisation);
         same != own.organisations.end()) {
         for (const auto& [key, each] : same->second.entries) {
-            if (key.first > entry.order()) {
+            if (key.first > entry.deadline) {
                 break;
             }
             ++earlier;
@@ -127,10 +127,10 @@
         target.turns.push_back(entry.organisation);
         own.turn = std::prev(target.turns.end());
     }
-    const order key{entry.order(), entry.id};
+    const order key{entry.deadline, entry.id};
     own.entries.emplace(key, entry);
-    index_.emplace(entry.id, place{index, entry.organisation, key});
-    deadlines_.emplace(entry.deadline, entry.id);
+    index_.emplace(entry.id, place{index, entry.organisation, entry.deadline});
+    deadlines_.insert(key);
     ++sizes_.at(index);
     return true;
 }
@@ -225,7 +225,7 @@
         return std::nullopt;
     }
     const auto at = found->second;
-    return extract(at.index, at.organisation, at.key);
+    return extract(at.index, at.organisation, {at.deadline, id});
 }
 
 admission_entry admission_queue::extract(std::size_t index, const organisation_id& organisation,
@@ -240,7 +240,7 @@
         from.organisations.erase(own);
     }
     index_.erase(key.second);
-    deadlines_.erase({taken.deadline, taken.id});
+    deadlines_.erase(key);
     --sizes_.at(index);
     return taken;
 }
--- a/src/core/sessions/backend_session_acquire.cpp
+++ b/src/core/sessions/backend_session_acquire.cpp
@@ -77,11 +77,6 @@
            found->second.lagging_position < required;
 }
 
-std::uint32_t backend_sessions::concurrency(const backend_server_id& backend) const {
-    const auto* entry = state_.directory.find(backend);
-    return entry == nullptr ? 0 : concurrency_limit(entry->registration);
-}
-
 bool backend_sessions::has_capacity(time_point now, const backend_server_id& backend) const {
     const auto* entry = state_.directory.find(backend);
     if (entry == nullptr) {
