Limit what callers' connections buffer

Cause: a connection could hold 1 MiB of an unfinished line, 32 statements of 1 MiB, 8 MiB of unread answers and any number of session values, without a time limit; a crowd of silent connections took all sessions, and one at the readiness port all descriptors. Change: buffer_budget, without I/O or clock, decides by bytes held (connection, organisation, process; from memory_mb) which connections are read and which are closed; session_port acts on it. line_stream asks before each line and read, keeps no input buffer while idle and no longer searches a long line again with each read. Lines, unread answers and the first line have time limits. Queued statements are also limited in bytes, session values over all sessions. At the session limit, a connection without a first line gives way. The HTTP ports have 32 connections each and close the oldest. Not run: the optimised build with -Werror of all targets, clang-tidy, sanitizers.

--- a/include/jackdawvane/adapters/http_server.hpp
+++ b/include/jackdawvane/adapters/http_server.hpp
@@ -39,10 +39,13 @@
 
 /// @brief Limits of an HTTP server.
 struct http_server_settings {
-    endpoint listen;                                    ///< Port 0 picks a free port.
-    std::size_t body_limit{std::size_t{1024} * 1024};   ///< Bytes; larger requests get status 413.
-    std::uint32_t header_limit{16 * 1024};              ///< Bytes; larger headers get status 431.
-    std::size_t connection_limit{20000};                ///< Further connections are closed at once.
+    endpoint listen;                                  ///< Port 0 picks a free port.
+    std::size_t body_limit{std::size_t{1024} * 1024}; ///< Bytes; larger requests get status 413.
+    std::uint32_t header_limit{16 * 1024};            ///< Bytes; larger headers get status 431.
+    std::size_t connection_limit{20000};              ///< Further connections are closed at once.
+    /// At the connection limit, close the connection that has waited longest for a request or a
+    /// reader instead of the new one.
+    bool close_oldest_when_full{false};
     duration request_timeout{std::chrono::seconds{10}}; ///< First to last byte of a request.
     duration idle_timeout{std::chrono::seconds{300}};   ///< Between requests.
 };
--- a/include/jackdawvane/sessions/caller_session.hpp
+++ b/include/jackdawvane/sessions/caller_session.hpp
@@ -67,6 +67,8 @@
     std::map<std::string, std::string> values;
     std::map<std::string, prepared_statement> prepared;
     std::deque<statement> input; ///< Received statements that were not started yet.
+    std::size_t input_bytes{0};  ///< Size of `input`.
+    std::size_t state_bytes{0};  ///< Size of `values` and `prepared`.
     std::optional<statement_work> work;
     caller_transaction transaction;
     std::map<group_id, session_floor> floors;
--- a/include/jackdawvane/sessions/ports.hpp
+++ b/include/jackdawvane/sessions/ports.hpp
@@ -83,6 +83,7 @@
 /// @brief Confirm to a caller that its session is open.
 struct accept_session {
     session_id session;
+    organisation_id organisation;
 };
 
 /// @brief Reply to the oldest unanswered statement of a session.
--- a/include/jackdawvane/sessions/statement_executor.hpp
+++ b/include/jackdawvane/sessions/statement_executor.hpp
@@ -68,6 +68,13 @@
     duration configuration_wait{std::chrono::milliseconds{1700}};
     /// Statements of a session that may be queued behind the one being run.
     std::size_t pipeline_limit{32};
+    /// Bytes of the statements that may be queued: two of the largest size.
+    std::size_t pipeline_bytes{std::size_t{2} * 1024 * 1024};
+    /// Bytes of the variables and prepared statements of all sessions, which are kept while idle
+    /// sessions are open and are sent with their statements.
+    std::size_t state_bytes{std::size_t{16} * 1000 * 1000};
+    /// Bytes of them that each session may have although all together exceed `state_bytes`.
+    std::size_t session_state_allowance{2048};
     /// Time after the first failed readiness check until the load balancer opens no more
     /// connections.
     duration load_balancer_delay{std::chrono::milliseconds{2300}};
@@ -147,6 +154,7 @@
     void start(time_point now, caller_session& session, statement next, proxy_output& out);
     void start_local(time_point now, caller_session& session, const statement& next,
                      proxy_output& out);
+    [[nodiscard]] bool reserve_state(caller_session& session, const statement& next);
     void start_ending(time_point now, caller_session& session, statement next, proxy_output& out);
     void start_operation(time_point now, caller_session& session, statement next,
                          proxy_output& out);
@@ -231,6 +239,7 @@
     std::map<session_id, operation_route> routes_;
     std::map<attempt_id, session_id> attempts_;
     std::set<queue_key> waiting_;
+    std::size_t state_bytes_{0};           ///< Of all sessions.
     std::set<session_id> active_sessions_; ///< Sessions with a current statement.
     time_point next_tick_{};
     time_point next_idle_check_{};
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -37,15 +37,37 @@
             });
             return;
         }
-        if (self->sessions.size() < self->settings.connection_limit) {
-            const auto session = std::make_shared<http_session>(std::move(socket), self);
-            self->sessions.insert(session);
-            session->start();
-        }
+        self->admit(std::move(socket));
         self->accept();
     });
 }
 
+void http_server_state::admit(tcp_socket socket) {
+    if (settings.close_oldest_when_full && sessions.size() >= settings.connection_limit) {
+        close_oldest();
+    }
+    if (sessions.size() >= settings.connection_limit) {
+        return;
+    }
+    const auto session =
+        std::make_shared<http_session>(std::move(socket), shared_from_this(), ++last_number);
+    sessions.insert(session);
+    session->start();
+}
+
+void http_server_state::close_oldest() {
+    std::shared_ptr<http_session> oldest;
+    for (const auto& each : sessions) {
+        const auto since = each->waiting_since();
+        if (since && (!oldest || *since < *oldest->waiting_since())) {
+            oldest = each;
+        }
+    }
+    if (oldest) {
+        oldest->close();
+    }
+}
+
 void http_server_state::sweep() {
     sweep_timer.expires_after(sweep_interval);
     sweep_timer.async_wait([weak = weak_from_this()](error_code failure) {
--- a/src/adapters/http_session.cpp
+++ b/src/adapters/http_session.cpp
@@ -38,8 +38,17 @@
 
 } // namespace
 
-http_session::http_session(tcp_socket socket, std::shared_ptr<http_server_state> server)
-    : socket_{std::move(socket)}, server_{std::move(server)} {}
+http_session::http_session(tcp_socket socket, std::shared_ptr<http_server_state> server,
+                           std::uint64_t number)
+    : socket_{std::move(socket)}, server_{std::move(server)}, number_{number} {}
+
+std::optional<std::pair<std::uint32_t, std::uint64_t>>
+http_session::waiting_since() const noexcept {
+    if (phase_ == phase::handling || phase_ == phase::closed) {
+        return {};
+    }
+    return std::pair{phase_since_s_, number_};
+}
 
 void http_session::start() {
     error_code ignored;
--- a/src/adapters/http_session.hpp
+++ b/src/adapters/http_session.hpp
@@ -2,6 +2,8 @@
 
 #include "jackdawvane/adapters/http_server.hpp"
 
+#include <utility>
+
 #include <functional>
 #include <memory>
 #include <optional>
@@ -22,7 +24,8 @@
 /// @brief One connection of an HTTP server.
 class http_session : public std::enable_shared_from_this<http_session> {
   public:
-    http_session(tcp_socket socket, std::shared_ptr<http_server_state> server);
+    http_session(tcp_socket socket, std::shared_ptr<http_server_state> server,
+                 std::uint64_t number);
 
     void start();
     void respond(std::uint64_t serial, http_response response);
@@ -37,6 +40,11 @@
     /// @brief Closes the connection when the timeout of its phase has expired.
     void sweep(std::uint32_t now_s);
 
+    /// @brief Second and number that order the connections by how long they have waited for the
+    /// client; empty while a request is handled.
+    [[nodiscard]] std::optional<std::pair<std::uint32_t, std::uint64_t>>
+    waiting_since() const noexcept;
+
   private:
     enum class phase { idle, receiving, handling, writing, closed };
 
@@ -57,6 +65,7 @@
     std::optional<http::request_parser<http::string_body>> parser_;
     http::response<http::string_body> response_;
     std::function<void()> closed_callback_;
+    std::uint64_t number_;
     std::uint64_t serial_{0};
     std::uint32_t phase_since_s_{0};
     phase phase_{phase::idle};
@@ -70,6 +79,8 @@
                       http_server::handler handler);
 
     void accept();
+    void admit(tcp_socket socket);
+    void close_oldest();
     void sweep();
     void remove(const std::shared_ptr<http_session>& session);
     void report_stopped();
@@ -78,6 +89,7 @@
     http_server::handler on_request;
     tcp_acceptor acceptor;
     steady_timer sweep_timer;
+    std::uint64_t last_number{0};
     std::unordered_set<std::shared_ptr<http_session>> sessions;
     std::function<void()> stopped;
     std::uint32_t now_s{0};
--- a/src/adapters/line_stream.cpp
+++ b/src/adapters/line_stream.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <algorithm>
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
@@ -10,7 +12,8 @@
 
 namespace {
 
-constexpr std::size_t read_size = 4096;
+/// Bytes read after a full first read, into a buffer that all streams share.
+constexpr std::size_t read_size = std::size_t{16} * 1024;
 constexpr std::string_view line_end = "\r\n";
 /// Bytes queued for a peer that does not read; beyond them the connection is closed.
 constexpr std::size_t output_limit = std::size_t{8} * 1024 * 1024;
@@ -82,18 +85,55 @@
     read();
 }
 
+read_permission line_stream::permission() const {
+    return on_permission_ ? on_permission_() : read_permission{};
+}
+
+void line_stream::note_activity() {
+    if (on_activity_ && !closed_) {
+        on_activity_();
+    }
+}
+
 void line_stream::read() {
-    const auto kept = input_.size();
-    input_.resize(kept + read_size);
-    socket_.async_read_some(
-        asio::buffer(input_.data() + kept, read_size),
-        [self = shared_from_this(), kept](error_code failure, std::size_t size) {
-            if (self->closed_) {
-                return;
-            }
-            self->input_.resize(kept + (failure ? 0 : size));
-            self->on_read(failure, size);
-        });
+    if (closed_ || read_pending_) {
+        return;
+    }
+    const auto allowed = permission().bytes;
+    if (allowed == 0) {
+        paused_ = true;
+        return;
+    }
+    read_pending_ = true;
+    socket_.async_read_some(asio::buffer(first_read_.data(), std::min(allowed, first_read_.size())),
+                            [self = shared_from_this()](error_code failure, std::size_t size) {
+                                self->read_pending_ = false;
+                                if (self->closed_) {
+                                    return;
+                                }
+                                if (!failure) {
+                                    self->input_.append(self->first_read_.data(), size);
+                                    // The permission may be older than this read: other streams may
+                                    // have used it up.
+                                    const auto now_allowed = self->permission().bytes;
+                                    if (size == self->first_read_.size() && now_allowed > size) {
+                                        self->read_more(now_allowed - size);
+                                    }
+                                }
+                                self->on_read(failure, size);
+                            });
+}
+
+/// Reads what has arrived beyond the first read. A failure is reported by the next read.
+void line_stream::read_more(std::size_t allowed) {
+    static thread_local std::array<char, read_size> buffer;
+    error_code ignored;
+    const auto arrived = std::min({socket_.available(ignored), allowed, buffer.size()});
+    if (ignored || arrived == 0) {
+        return;
+    }
+    const auto size = socket_.read_some(asio::buffer(buffer.data(), arrived), ignored);
+    input_.append(buffer.data(), size);
 }
 
 void line_stream::on_read(error_code failure, std::size_t /*size*/) {
@@ -101,22 +141,55 @@
         end(stream_end::lost);
         return;
     }
+    continue_reading();
+}
+
+void line_stream::resume() {
+    if (std::exchange(paused_, false)) {
+        continue_reading();
+    }
+}
+
+void line_stream::continue_reading() {
+    // A line's callback may write an answer, after which the port resumes the stream.
+    if (closed_ || handling_) {
+        return;
+    }
+    if (close_when_written_) {
+        input_ = {};
+        read();
+        return;
+    }
+    const auto self = shared_from_this();
+    handling_ = true;
     process_lines();
+    handling_ = false;
     if (closed_) {
         return;
     }
-    if (input_.size() > line_limit_) {
+    if (has_partial_line_ && input_.size() > line_limit_) {
         end(stream_end::line_too_long);
         return;
     }
-    read();
+    note_activity();
+    if (!paused_) {
+        read();
+    }
 }
 
 void line_stream::process_lines() {
     std::size_t begin = 0;
+    has_partial_line_ = !input_.empty();
     while (!closed_) {
-        const auto found = input_.find(line_end, begin);
+        const auto found = input_.find(line_end, std::max(begin, searched_));
         if (found == std::string::npos) {
+            // The last byte may be the first one of a line end.
+            searched_ = std::max(begin, input_.empty() ? 0 : input_.size() - 1);
+            break;
+        }
+        if (!permission().handle) {
+            paused_ = true;
+            searched_ = begin;
             break;
         }
         const std::string line{input_, begin, found - begin};
@@ -127,9 +200,14 @@
             on_line_(line);
         }
     }
-    if (!closed_) {
-        input_.erase(0, begin);
-        has_partial_line_ = !input_.empty();
+    if (closed_) {
+        return;
+    }
+    searched_ -= std::min(begin, searched_);
+    input_.erase(0, begin);
+    has_partial_line_ = !input_.empty() && !paused_;
+    if (input_.empty()) {
+        input_.shrink_to_fit();
     }
 }
 
@@ -167,20 +245,32 @@
     }
     writing_ = std::exchange(output_, {});
     write_pending_ = true;
-    asio::async_write(socket_, asio::buffer(writing_),
+    // The condition is called after each part that was written.
+    const auto note_part = [self = shared_from_this(), before = sent_](error_code failure,
+                                                                       std::size_t size) {
+        self->sent_ = before + size;
+        return failure ? std::size_t{0} : self->writing_.size() - size;
+    };
+    asio::async_write(socket_, asio::buffer(writing_), note_part,
                       [self = shared_from_this()](error_code failure, std::size_t) {
-                          self->write_pending_ = false;
-                          if (self->closed_) {
-                              return;
-                          }
-                          if (failure) {
-                              self->end(stream_end::lost);
-                              return;
-                          }
-                          self->flush();
+                          self->on_written(failure);
                       });
 }
 
+void line_stream::on_written(error_code failure) {
+    write_pending_ = false;
+    writing_ = {};
+    if (closed_) {
+        return;
+    }
+    if (failure) {
+        end(stream_end::lost);
+        return;
+    }
+    flush();
+    note_activity();
+}
+
 void line_stream::end(stream_end reason) {
     if (closed_) {
         return;
@@ -196,6 +286,8 @@
     closed_ = true;
     on_line_ = nullptr;
     on_end_ = nullptr;
+    on_permission_ = nullptr;
+    on_activity_ = nullptr;
     reset_connection(socket_);
 }
 
@@ -203,6 +295,8 @@
     close_when_written_ = true;
     on_line_ = nullptr;
     on_end_ = nullptr;
+    on_permission_ = nullptr;
+    on_activity_ = nullptr;
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->flush(); });
 }
 
--- a/src/adapters/proxy_host.cpp
+++ b/src/adapters/proxy_host.cpp
@@ -18,7 +18,9 @@
 struct session_visitor {
     proxy_port_set& ports;
 
-    void operator()(const accept_session& value) const { ports.sessions.accept(value.session); }
+    void operator()(const accept_session& value) const {
+        ports.sessions.accept(value.session, value.organisation);
+    }
     void operator()(const answer_statement& value) const {
         ports.sessions.answer(value.session, value.reply);
     }
--- a/src/core/sessions/statement_executor.cpp
+++ b/src/core/sessions/statement_executor.cpp
@@ -22,6 +22,11 @@
     return reply;
 }
 
+std::size_t size_of(const statement& each) {
+    return each.id.str().size() + each.name.size() + each.value.size() + each.shape.size() +
+           each.text.size();
+}
+
 } // namespace
 
 statement_executor::statement_executor(fleet_state& state, statement_forwarder& forwarder,
@@ -31,6 +36,10 @@
       attempt_ids_{last_attempt} {}
 
 void statement_executor::on(time_point now, const session_started& what, proxy_output& out) {
+    if (sessions_.contains(what.session) || pending_sessions_.contains(what.session)) {
+        on(now, session_broken{what.session, "the session has already started"}, out);
+        return;
+    }
     const auto key = digest_of(what.key);
     if (state_.configuration || closed_) {
         open_session(now, what.session, what.database, key, out);
@@ -74,8 +83,8 @@
         out.sessions.emplace_back(reject_session{id, problem->problem, problem->detail});
         return;
     }
+    out.sessions.emplace_back(accept_session{id, session.organisation});
     sessions_[id] = std::move(session);
-    out.sessions.emplace_back(accept_session{id});
 }
 
 /// Checks the route and the key against the configuration that is current at this operation.
@@ -111,13 +120,16 @@
     }
     auto& session = found->second;
     session.last_activity = now;
-    if (session.input.size() >= settings_.pipeline_limit) {
+    const auto size = size_of(what.statement);
+    if (session.input.size() >= settings_.pipeline_limit ||
+        session.input_bytes + size > settings_.pipeline_bytes) {
         out.sessions.emplace_back(reject_session{session.id, statement_error::too_large,
                                                  "too many pipelined statements"});
         close(now, session.id, out);
         return;
     }
     session.input.push_back(what.statement);
+    session.input_bytes += size;
     if (!session.work) {
         start_next(now, session, out);
     }
@@ -152,6 +164,7 @@
         abandon_attempts(now, session, in_transaction, out);
     }
     end_transaction(now, session, out);
+    state_bytes_ -= session.state_bytes;
     active_sessions_.erase(id);
     routes_.erase(id);
     sessions_.erase(found);
@@ -166,6 +179,7 @@
         }
         auto next = std::move(found->second.input.front());
         found->second.input.pop_front();
+        found->second.input_bytes -= size_of(next);
         start(now, found->second, std::move(next), out);
     }
 }
@@ -215,6 +229,17 @@
 
 void statement_executor::start_local(time_point /*now*/, caller_session& session,
                                      const statement& next, proxy_output& out) {
+    if (!reserve_state(session, next)) {
+        log(out.common, "session", log_level::warning,
+            "no room for a value session=" + std::to_string(session.id.value()) + " held=" +
+                std::to_string(session.state_bytes) + " all=" + std::to_string(state_bytes_));
+        count(out.common, "session_values_refused_total");
+        auto reply = local_reply(session.transaction.state);
+        reply.problem = statement_error::busy;
+        reply.detail = "no room for session values; use shorter ones";
+        out.sessions.emplace_back(answer_statement{session.id, std::move(reply)});
+        return;
+    }
     if (next.kind == statement_kind::set) {
         session.values[next.name] = next.value;
     } else if (next.kind == statement_kind::prepare) {
@@ -225,6 +250,28 @@
     out.sessions.emplace_back(answer_statement{session.id, local_reply(session.transaction.state)});
 }
 
+/// Counts what the session keeps after @a next. Returns false if there is no room for it.
+bool statement_executor::reserve_state(caller_session& session, const statement& next) {
+    const bool sets = next.kind == statement_kind::set;
+    std::size_t before = 0;
+    if (sets && session.values.contains(next.name)) {
+        before = next.name.size() + session.values.at(next.name).size();
+    } else if (!sets && session.prepared.contains(next.name)) {
+        before = next.name.size() + session.prepared.at(next.name).shape.size();
+    }
+    const bool removes = next.kind == statement_kind::deallocate;
+    const auto added = removes ? 0 : next.name.size() + (sets ? next.value : next.shape).size();
+    const auto of_session = session.state_bytes - before + added;
+    const auto of_all = state_bytes_ - before + added;
+    if (added > before && of_session > settings_.session_state_allowance &&
+        of_all > settings_.state_bytes) {
+        return false;
+    }
+    session.state_bytes = of_session;
+    state_bytes_ = of_all;
+    return true;
+}
+
 void statement_executor::start_ending(time_point now, caller_session& session, statement next,
                                       proxy_output& out) {
     const bool failed = session.transaction.state == transaction_state::failed;
--- a/tests/core/statement_executor_test.cpp
+++ b/tests/core/statement_executor_test.cpp
@@ -368,6 +368,43 @@
     EXPECT_TRUE(fixture.take<open_server_connection>().empty());
 }
 
+/// Guards against large statements that wait in the session; only their number was limited.
+TEST_F(StatementExecutor, QueuedStatementsAreLimitedInBytes) {
+    auto large = read_one();
+    large.text = std::string(std::size_t{1024} * 1024, 'x');
+    for (const int time : {1, 2, 3}) {
+        fixture.send_statement(time, large);
+    }
+    const auto rejected = fixture.take<reject_session>();
+    ASSERT_EQ(rejected.size(), 1U);
+    EXPECT_EQ(rejected.front().problem, statement_error::too_large);
+}
+
+/// Guards against sessions that keep any number of values while they are open.
+TEST_F(StatementExecutor, ValuesBeyondTheLimitOfAllSessionsAreRefused) {
+    auto set = make_statement(statement_kind::set, "SET");
+    set.value = std::string(1000 * 1000, 'x');
+    const auto fitting = executor_settings{}.state_bytes / (set.value.size() + 1);
+    for (std::size_t number = 0; number <= fitting; ++number) {
+        set.name = std::string(1, static_cast<char>('a' + number));
+        fixture.send_statement(1, set);
+        EXPECT_EQ(fixture.answers().back().problem,
+                  number < fitting ? statement_error::none : statement_error::busy);
+    }
+    set.name = "a";
+    set.value.resize(10);
+    fixture.send_statement(2, set);
+    EXPECT_EQ(fixture.answers().back().problem, statement_error::none);
+}
+
+/// Guards against a second start that replaces a session which has a statement in progress.
+TEST_F(StatementExecutor, SecondStartEndsTheSession) {
+    fixture.send_statement(1, read_one());
+    fixture.start(2);
+    ASSERT_EQ(fixture.take<reject_session>().size(), 1U);
+    EXPECT_EQ(fixture.executor.sessions(), 0U);
+}
+
 struct rejection_case {
     const char* name;
     const char* key;
--- a/tests/platform/session_ports_test.cpp
+++ b/tests/platform/session_ports_test.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <vector>
@@ -191,5 +192,106 @@
     EXPECT_TRUE(std::holds_alternative<session_broken>(events[1]));
 }
 
+class SessionLimits : public SessionPorts {
+  protected:
+    SessionLimits() {
+        settings.listen = {"127.0.0.1", acceptor.local_endpoint().port()};
+        settings.on_limit = [this](const session_limit_event& what) {
+            reasons.push_back(what.reason);
+        };
+        acceptor.close();
+    }
+    void connect(tcp::socket& caller) {
+        caller.connect({asio::ip::make_address("127.0.0.1"), settings.listen.port});
+        run();
+    }
+    void run(milliseconds time = milliseconds{50}) {
+        context.restart();
+        context.run_for(time);
+    }
+    void send(tcp::socket& caller, const std::string& text) {
+        asio::write(caller, asio::buffer(text));
+        run();
+    }
+    std::size_t statements() const {
+        return static_cast<std::size_t>(
+            std::count_if(events.begin(), events.end(), [](const proxy_event& each) {
+                return std::holds_alternative<statement_received>(each);
+            }));
+    }
+
+    session_port_settings settings;
+    std::vector<std::string> reasons;
+};
+
+/// Guards against answers and statements that a caller which does not read piles up.
+TEST_F(SessionLimits, StatementsWaitInTheSocketWhileAnAnswerIsMissing) {
+    settings.buffers.pause = 100;
+    session_port sessions{context, settings, codec, sink()};
+    tcp::socket caller{context};
+    connect(caller);
+    const std::string line = "QUERY 1 READ " + std::string(30, 'x') + "\r\n";
+    send(caller, "STARTUP db key\r\n" + line + line);
+    EXPECT_EQ(statements(), 1U);
+    sessions.answer(session_id{1}, {});
+    run();
+    EXPECT_EQ(statements(), 2U);
+    sessions.answer(session_id{1}, {});
+    send(caller, line);
+    EXPECT_EQ(statements(), 3U);
+}
+
+/// Guards against half-sent lines that hold memory until their callers disconnect.
+TEST_F(SessionLimits, UnfinishedLineEndsItsConnection) {
+    settings.buffers.line_time = milliseconds{100};
+    session_port sessions{context, settings, codec, sink()};
+    tcp::socket caller{context};
+    tcp::socket idle{context};
+    connect(caller);
+    connect(idle);
+    send(idle, "STARTUP db key\r\n");
+    send(caller, "STARTUP db key\r\nQUERY 1 RE");
+    run(milliseconds{600});
+    EXPECT_EQ(reasons, std::vector<std::string>{"unfinished_line"});
+    EXPECT_NE(last<session_closed>(), nullptr);
+    EXPECT_EQ(sessions.connections(), 1U);
+}
+
+/// Guards against a full budget that keeps its room for callers that have stopped sending.
+TEST_F(SessionLimits, ReadingContinuesWhenThereIsRoomAgain) {
+    settings.buffers.process = settings.buffers.organisation = 8000;
+    settings.buffers.allowance = 100;
+    settings.buffers.crowded_time = milliseconds{100};
+    session_port sessions{context, settings, codec, sink()};
+    tcp::socket first{context};
+    tcp::socket second{context};
+    connect(first);
+    connect(second);
+    send(first, std::string(3000, 'x'));
+    send(second, "STARTUP db key\r\nQUERY 1 READ " + std::string(1000, 'x') + "\r\n");
+    EXPECT_EQ(statements(), 0U);
+    run(milliseconds{600});
+    EXPECT_EQ(reasons, std::vector<std::string>{"no_room"});
+    EXPECT_EQ(statements(), 1U);
+}
+
+/// Guards against a crowd of silent connections that keeps ordinary callers out.
+TEST_F(SessionLimits, SilentConnectionGivesWayAtTheSessionLimit) {
+    settings.session_limit = 2;
+    session_port sessions{context, settings, codec, sink()};
+    tcp::socket silent{context};
+    tcp::socket first{context};
+    tcp::socket second{context};
+    tcp::socket refused{context};
+    connect(silent);
+    connect(first);
+    send(first, "STARTUP db key\r\n");
+    connect(second);
+    send(second, "STARTUP db key\r\n");
+    connect(refused);
+    EXPECT_EQ(reasons, (std::vector<std::string>{"no_startup", "session_limit"}));
+    EXPECT_EQ(sessions.connections(), 2U);
+}
+
 } // namespace
 } // namespace jackdawvane::platform
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -2,14 +2,14 @@
 # Installs the dependencies, builds and runs every check and test.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-echo '[1/7] dependencies'
+echo '[1/8] dependencies'
 tools/install-dependencies.sh
-echo '[2/7] build'
+echo '[2/8] build'
 cmake -S . -B build -G Ninja >/dev/null
 cmake --build build
-echo '[3/7] formatter, layering, linter'
+echo '[3/8] formatter, layering, linter'
 tools/check-code.sh --tidy
-echo '[4/7] tests'
+echo '[4/8] tests'
 # A known failing test is listed in KNOWN-RED.txt as "test: NAME"; it is skipped and printed.
 known=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' || true)
 exclude=()
@@ -18,11 +18,13 @@
     exclude=(-E "^($known)\$")
 fi
 ctest --test-dir build --output-on-failure --no-tests=error -j "$(nproc)" "${exclude[@]}"
-echo '[5/7] faults against the real binaries'
+echo '[5/8] faults against the real binaries'
 tools/process-test.py
-echo '[6/7] fault soak of jackdawvane-entry, regression seeds'
+echo '[6/8] clients that misbehave, one test at a time'
+tools/client-abuse-test.py
+echo '[7/8] fault soak of jackdawvane-entry, regression seeds'
 tools/soak.py --jobs 2 --regression
-echo '[7/7] tests with address and undefined behaviour sanitizers'
+echo '[8/8] tests with address and undefined behaviour sanitizers'
 cmake -S . -B build-sanitize -G Ninja -DJACKDAWVANE_SANITIZE=ON -DCMAKE_BUILD_TYPE=Debug >/dev/null
 cmake --build build-sanitize
 ctest --test-dir build-sanitize --output-on-failure --no-tests=error -j "$(nproc)" "${exclude[@]}"
