--- a/tests/adapters/http_server_test.cpp
+++ b/tests/adapters/http_server_test.cpp
@@ -155,5 +155,29 @@
     EXPECT_EQ(busy.answer->value().body, "finished");
 }
 
+/// Guards against a crowd of silent connections that keeps the readiness check out.
+TEST_F(HttpServer, OldestWaitingConnectionGivesWayWhenFull) {
+    http_server_settings settings;
+    settings.listen = {"127.0.0.2", 0};
+    settings.connection_limit = 2;
+    settings.close_oldest_when_full = true;
+    server.emplace(context, settings,
+                   [this](const http_request_view& request, const http_responder& responder) {
+                       bodies.emplace_back(request.body());
+                       responders.push_back(responder);
+                   });
+    loopback::caller handled{context, server->local_endpoint()};
+    handled.post("/", "first");
+    ASSERT_TRUE(run_until([&] { return responders.size() == 1; }));
+    auto silent = raw_connection();
+    ASSERT_TRUE(run_until([&] { return server->connections() == 2; }));
+    loopback::caller last{context, server->local_endpoint()};
+    last.post("/", "last");
+    ASSERT_TRUE(run_until([&] { return responders.size() == 2; }));
+    EXPECT_EQ(server->connections(), 2U);
+    responders[0].respond({200, "handled", "text/plain", {}});
+    EXPECT_TRUE(run_until([&] { return handled.answer.has_value(); }));
+}
+
 } // namespace
 } // namespace jackdawvane
