Handle lines that were read even when the buffer budget has no room

Cause: a paused connection was resumed only with room for further input. Connections with complete lines that were not handled yet hold memory, are not closed for room (their line is complete), and could therefore wait for the room that they took up themselves. Change: a connection is resumed whenever its next line may be handled; reading still needs room.

--- a/src/adapters/session_port.cpp
+++ b/src/adapters/session_port.cpp
@@ -189,8 +189,8 @@
     if (found == callers_.end() || !found->second.stream->paused()) {
         return;
     }
-    const auto allowed = permission(session);
-    if (allowed.handle && allowed.bytes > 0) {
+    // Lines that were read are handled without room for more: they hold the memory already.
+    if (budget_.may_handle(session)) {
         const auto stream = found->second.stream;
         stream->resume();
     }
--- a/tests/platform/session_ports_test.cpp
+++ b/tests/platform/session_ports_test.cpp
@@ -241,6 +241,21 @@
     EXPECT_EQ(statements(), 3U);
 }
 
+/// Guards against complete lines that hold the budget and wait for the room that they take up.
+TEST_F(SessionLimits, LinesThatWereReadAreHandledWithoutRoom) {
+    settings.buffers.pause = 100;
+    settings.buffers.process = 150;
+    settings.buffers.allowance = 100;
+    session_port sessions{context, settings, codec, sink()};
+    tcp::socket caller{context};
+    connect(caller);
+    const std::string line = "QUERY 1 READ " + std::string(30, 'x') + "\r\n";
+    send(caller, "STARTUP db key\r\n" + line + line);
+    sessions.answer(session_id{1}, {});
+    run();
+    EXPECT_EQ(statements(), 2U);
+}
+
 /// Guards against half-sent lines that hold memory until their callers disconnect.
 TEST_F(SessionLimits, UnfinishedLineEndsItsConnection) {
     settings.buffers.line_time = milliseconds{100};
