--- /dev/null
+++ b/tests/core/failover_hold_test.cpp
@@ -0,0 +1,96 @@
+#include <algorithm>
+
+#include "failover_fixture.hpp"
+
+namespace jackdawvane {
+namespace {
+
+using namespace testing; // NOLINT(google-build-using-namespace)
+
+/// Guards against a silent replica that is left out of the hold and goes on proving the primary.
+TEST_F(FailoverCoordinator, PromotionWaitsUntilEveryRegisteredReplicaIsHeld) {
+    run(0, 500);
+    silent = {"p", "r2"};
+    run(500, 7000);
+    EXPECT_TRUE(promotions.empty());
+    EXPECT_FALSE(sent("r1", command_kind::resume));
+    register_servers(7000, {"p", "r1"});
+    run(7000, 12'000);
+    EXPECT_FALSE(promotions.empty());
+}
+
+/// Guards against a replica that registers during a promotion and proves the old primary.
+TEST_F(FailoverCoordinator, ReplicaThatRegistersDuringAPromotionIsHeld) {
+    run(0, 500);
+    silent = {"p"};
+    std::int64_t now = 500;
+    for (; !sent("r1", command_kind::hold) && now < 3000; now += 25) {
+        step(now);
+    }
+    status["r3"] = replica_status(1, point(1, 9));
+    register_servers(now, {"p", "r1", "r2", "r3"});
+    for (; promotions.empty() && now < 6000; now += 25) {
+        step(now);
+    }
+    EXPECT_EQ(promotions.size(), 1U);
+    EXPECT_TRUE(sent("r3", command_kind::hold));
+}
+
+/// Guards against a promotion that goes on as soon as a silent replica's registration has ended:
+/// VMs with an older list still use it as proof.
+TEST_F(FailoverCoordinator, ReplicaThatLeftTheRegistryIsWaitedFor) {
+    run(0, 500);
+    silent = {"p", "r2"};
+    register_servers(500, {"p", "r1"});
+    run(500, 3800);
+    EXPECT_TRUE(promotions.empty());
+    run(3800, 5000);
+    EXPECT_EQ(promotions.size(), 1U);
+}
+
+/// Guards against a group without a primary because a link between the coordinator and a replica is
+/// down, and against a hold that the coordinator does not learn of.
+TEST_F(FailoverCoordinator, ReplicaIsHeldByAnotherVmOnBehalfOfTheCoordinator) {
+    state.regions[vm("b", "d2").place.domain] = region_id{};
+    state.live.push_back(vm("b", "d2"));
+    run(0, 500);
+    silent = {"p", "r2"};
+    bool requested = false;
+    for (std::int64_t now = 500; promotions.empty() && now < 5000; now += 25) {
+        step(now);
+        for (const auto& each : actions{out.common}) {
+            const auto* sent = std::get_if<send_to_peer>(&each);
+            const auto* query =
+                sent == nullptr ? nullptr : std::get_if<observation_query>(&sent->message);
+            if (query == nullptr || query->hold_servers.empty()) {
+                continue;
+            }
+            EXPECT_EQ(query->hold_servers, std::vector{backend_server_id{"r2"}});
+            requested = true;
+            observation_reply reply;
+            reply.number = query->number;
+            const auto held = replica_status(1, point(1, 9), query->hold_term.value());
+            reply.members = {{backend_server_id{"r2"}, group_id{"g"}, held, duration{0}}};
+            observer.on_answer(at(now + 5), sent->vm, reply, out);
+        }
+    }
+    EXPECT_TRUE(requested);
+    EXPECT_EQ(promotions.size(), 1U);
+}
+
+/// Guards against a replica that stays held, and a group without a proof, after a primary that was
+/// silent for a moment answers again.
+TEST_F(FailoverCoordinator, AttemptThatIsNotNeededResumesItsReplicas) {
+    run(0, 500);
+    silent = {"p", "r2"};
+    run(500, 2000);
+    EXPECT_EQ(status["r1"].held_term, term{2});
+    silent = {"r2"};
+    run(2000, 4000);
+    EXPECT_TRUE(promotions.empty());
+    EXPECT_FALSE(coordinator.replacement_in_progress());
+    EXPECT_EQ(status["r1"].held_term, term{});
+}
+
+} // namespace
+} // namespace jackdawvane
