--- a/src/core/sessions/statement_forwarder.cpp
+++ b/src/core/sessions/statement_forwarder.cpp
@@ -29,7 +29,7 @@
         return regions.may_have_text(vm.place.region, state_.self.place.region);
     };
     if (reachable_by_all) {
-        const auto owner = default_owner(backend, *entry);
+        auto owner = default_owner(backend, *entry);
         const auto* vm = owner ? state_.find_vm(*owner) : nullptr;
         if (vm == nullptr || may_have_text(*vm)) {
             return owner;
