--- a/tools/client-abuse-test.py
+++ b/tools/client-abuse-test.py
@@ -6,7 +6,7 @@
 that its memory and open descriptors stay under a bound, and that one ordinary request is answered
 while the crowd is still connected. It checks no times and no share of served requests.
 
-usage: tools/client-abuse-test.py [TEST...]
+usage: tools/client-abuse-test.py [TEST...] [--except=TEST...]
 """
 import asyncio
 import json
@@ -323,12 +323,14 @@
 def main():
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (min(max(soft, 4096), hard), hard))
-    names = sys.argv[1:]
-    unknown = set(names) - {behaviour.__name__ for behaviour in TESTS}
+    option = '--except='
+    left_out = {each.removeprefix(option) for each in sys.argv[1:] if each.startswith(option)}
+    names = [each for each in sys.argv[1:] if not each.startswith(option)]
+    unknown = (set(names) | left_out) - {behaviour.__name__ for behaviour in TESTS}
     if unknown:
         sys.exit(f'unknown: {", ".join(sorted(unknown))}')
     results = [run(behaviour, count) for behaviour, count in TESTS.items()
-               if not names or behaviour.__name__ in names]
+               if (not names or behaviour.__name__ in names) and behaviour.__name__ not in left_out]
     print(f'{results.count(False)} of {len(results)} tests failed')
     sys.exit(1 if False in results else 0)
 
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -21,7 +21,10 @@
 echo '[5/8] faults against the real binaries'
 tools/process-test.py
 echo '[6/8] clients that misbehave, one test at a time'
-tools/client-abuse-test.py
+# A crowd that is listed in KNOWN-RED.txt as "crowd: NAME" is not played, and printed.
+mapfile -t red_crowds < <(sed -n 's/^crowd: *//p' KNOWN-RED.txt)
+[ ${#red_crowds[@]} -eq 0 ] || echo "known failing, not run: ${red_crowds[*]}"
+tools/client-abuse-test.py "${red_crowds[@]/#/--except=}"
 echo '[7/8] fault soak of jackdawvane-entry, regression seeds'
 tools/soak.py --jobs 2 --regression
 echo '[8/8] tests with address and undefined behaviour sanitizers'
