Test the id of an odd store answer without relying on the order of evaluation

Callers saw nothing; only the test was wrong. Cause: EXPECT_EQ(call(...).id, request_id{calls}) reads the count that call() increases, and C++ leaves the order of the two arguments open: g++ on x86-64 reads it before the call, on arm64 after it. Result: the call ends before the comparison; the check is the same and as strict.

--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -147,7 +147,8 @@
 /// Guards against an answer of the store in another form that ends the process.
 TEST_P(OddStoreAnswer, IsAnAnswerToTheCall) {
     body = GetParam().body;
-    EXPECT_EQ(call(GetParam().operation).id, request_id{calls});
+    const auto answer = call(GetParam().operation);
+    EXPECT_EQ(answer.id, request_id{calls});
 }
 
 INSTANTIATE_TEST_SUITE_P(
