--- a/include/jackdawvane/adapters/decision_logger.hpp
+++ b/include/jackdawvane/adapters/decision_logger.hpp
@@ -56,7 +56,8 @@
     /// @brief Writes @a line unless its level is disabled or the rate limit is exceeded.
     ///
     /// The first lines of each kind (part and outcome) in a second are always written, so that
-    /// frequent lines don't displace rare ones. Lines that are left out are counted by kind, and
+    /// frequent lines don't displace rare ones: three, and 20 of the kinds that tell how a primary
+    /// came to be used or replaced. Lines that are left out are counted by kind, and
     /// the counts are written before the first line of a later second.
     void write(const log_record& line);
 
--- a/include/jackdawvane/sessions/group_leadership.hpp
+++ b/include/jackdawvane/sessions/group_leadership.hpp
@@ -47,6 +47,18 @@
     time_point requested_at{};
 };
 
+/// @brief Evidence that has confirmed a primary.
+enum class proof_kind {
+    none,
+    one_replica,         ///< One replica that answers and is not held.
+    all_asked,           ///< Replicas that answer, and all other servers were asked as recently.
+    no_other_registered, ///< The registry lists no other server of the group.
+    all_others_refused   ///< No replica answers; connections to all of them were refused.
+};
+
+/// @brief Name of @a kind in logs and metrics.
+[[nodiscard]] const char* to_string(proof_kind kind) noexcept;
+
 /// @brief What this VM can prove about the primary of one group.
 ///
 /// All times are those of this VM's clock from before the request was sent, so evidence is never
@@ -85,6 +97,8 @@
     [[nodiscard]] bool confirmed(time_point now) const noexcept;
     /// @brief Time at which the current proof was requested.
     [[nodiscard]] time_point confirmed_at() const noexcept { return confirmed_at_; }
+    /// @brief Evidence that has set `confirmed_at`.
+    [[nodiscard]] proof_kind confirmed_by() const noexcept { return confirmed_by_; }
     /// @brief Send time of the latest request that the primary has answered.
     [[nodiscard]] time_point primary_answered_at() const noexcept { return primary_answered_at_; }
 
@@ -124,6 +138,7 @@
 
     void start_term(time_point now, jackdawvane::term newer, const backend_server_id& primary);
     void update_proof();
+    void confirm(proof_kind kind, time_point requested_at);
     void add_sample(time_point requested_at, const log_point& position);
 
     leadership_settings settings_;
@@ -137,6 +152,7 @@
     std::map<backend_server_id, time_point> joining_;
     bool one_suffices_{false};
     time_point confirmed_at_{time_point::min()};
+    proof_kind confirmed_by_{proof_kind::none};
     std::optional<primary_proof> proof_;
     time_point usable_from_{};
     time_point primary_answered_at_{time_point::min()};
--- a/include/jackdawvane/sessions/group_observer.hpp
+++ b/include/jackdawvane/sessions/group_observer.hpp
@@ -180,8 +180,11 @@
     void report_failed_read(time_point now, proxy_output& out) const;
     /// Reports the age of the list as a metric, and logs when it becomes old or current again.
     void report_age(time_point now, proxy_output& out);
-    /// Logs for each group the status that proves its primary, when it has changed or is new.
+    /// Logs and counts for each group what confirms its primary, when it has changed or is new.
     void report_proofs(time_point now, proxy_output& out);
+    /// Logs and counts a refused connection attempt, which began at @a tried.
+    void report_refusal(time_point now, const backend_server_id& backend, bool was_open,
+                        time_point tried, proxy_output& out);
     void poll_servers(time_point now, proxy_output& out);
     /// Replica whose statuses prove that the primary of @a group has not been replaced.
     [[nodiscard]] backend_server_id proving_replica(const group_id& group) const;
@@ -253,7 +256,9 @@
     time_point next_age_report_{};
     struct reported_proof {
         primary_proof proof;
-        time_point at;
+        time_point at{};
+        proof_kind kind{proof_kind::none};
+        time_point confirmed_at{time_point::min()};
     };
     std::map<group_id, reported_proof> reported_proofs_;
     time_point due_{};
--- a/src/adapters/decision_logger.cpp
+++ b/src/adapters/decision_logger.cpp
@@ -3,9 +3,11 @@
 #include <utility>
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <chrono>
 #include <map>
+#include <string_view>
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
@@ -21,6 +23,11 @@
 constexpr int kept_files = 3;
 /// Lines of each kind that are written per second even when the rate limit is exceeded.
 constexpr std::uint32_t min_lines_per_kind = 3;
+/// Lines per second of each kind in `decisive_kinds`, written even when the rate limit is exceeded.
+constexpr std::uint32_t min_decisive_lines = 20;
+/// Parts, or parts with outcomes, whose lines tell how a primary came to be used or replaced.
+constexpr std::array<std::string_view, 6> decisive_kinds{
+    "promotion", "duty", "failover", "observer.proof", "observer.refused", "proxy.start"};
 /// Above the number of kinds in use; further kinds of a second are counted together as `other`.
 constexpr std::size_t max_kinds = 96;
 constexpr auto line_pattern = "%D{%Y-%m-%dT%H:%M:%S.%q} %p %m%n";
@@ -39,6 +46,14 @@
     return outcome ? line.part + ("." + word) : line.part;
 }
 
+/// Lines of @a kind, of the part @a part, that are written per second in any case.
+std::uint32_t min_lines_of(std::string_view part, std::string_view kind) {
+    const bool decisive =
+        std::any_of(decisive_kinds.begin(), decisive_kinds.end(),
+                    [&](std::string_view each) { return each == part || each == kind; });
+    return decisive ? min_decisive_lines : min_lines_per_kind;
+}
+
 log4cplus::LogLevel to_log4cplus(log_level level) noexcept {
     switch (level) {
     case log_level::debug:
@@ -113,11 +128,13 @@
 bool decision_logger::within_limit(const log_record& line) {
     auto& kinds = backend_->kinds;
     auto kind = kind_of(line);
-    if (kinds.size() >= max_kinds && !kinds.contains(kind)) {
+    const auto min_lines = min_lines_of(line.part, kind);
+    const bool decisive = min_lines > min_lines_per_kind;
+    if (!decisive && kinds.size() >= max_kinds && !kinds.contains(kind)) {
         kind = "other";
     }
     auto& counts = kinds[kind];
-    if (backend_->written >= backend_->limit && counts.written >= min_lines_per_kind) {
+    if (backend_->written >= backend_->limit && counts.written >= min_lines) {
         ++counts.left_out;
         return false;
     }
--- a/src/adapters/metrics_registry.cpp
+++ b/src/adapters/metrics_registry.cpp
@@ -1,5 +1,7 @@
 #include "jackdawvane/adapters/metrics_registry.hpp"
 
+#include "jackdawvane/foundation/code_version.hpp"
+
 #include <algorithm>
 #include <charconv>
 #include <fstream>
@@ -180,6 +182,8 @@
             }
         }
     }
+    append_header(out, "build_info", "gauge");
+    append_sample(out, "build_info", "version=\"" + escape(code_version()) + '"', 1);
     append_header(out, "process_cpu_seconds_total", "counter");
     append_sample(out, "process_cpu_seconds_total", "", cpu_seconds());
     append_header(out, "process_resident_memory_bytes", "gauge");
--- a/src/core/sessions/group_leadership.cpp
+++ b/src/core/sessions/group_leadership.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include <algorithm>
+#include <array>
 
 namespace jackdawvane {
 
@@ -15,6 +16,12 @@
 
 } // namespace
 
+const char* to_string(proof_kind kind) noexcept {
+    constexpr std::array<const char*, 5> names{"none", "one_replica", "all_asked",
+                                               "no_other_registered", "all_others_refused"};
+    return names.at(static_cast<std::size_t>(kind));
+}
+
 void group_leadership::set_members(std::set<backend_server_id> members) {
     for (const auto& server : members) {
         if (!members_.empty() && !members_.contains(server)) {
@@ -74,6 +81,7 @@
     primary_ = primary;
     stepped_down_ = false;
     confirmed_at_ = time_point::min();
+    confirmed_by_ = proof_kind::none;
     primary_answered_at_ = time_point::min();
     samples_.clear();
     for (auto& [server, own] : evidence_) {
@@ -139,12 +147,12 @@
                             (confirmed_at_ == time_point::min() ||
                              newest_sufficient - confirmed_at_ <= shortest_promotion);
     if (sufficient) {
-        confirmed_at_ = std::max(confirmed_at_, newest_sufficient);
+        confirm(proof_kind::one_replica, newest_sufficient);
     }
     const bool all_asked = supported && oldest_evidence != time_point::min() &&
                            newest_support - oldest_evidence <= shortest_promotion;
     if (all_asked) {
-        confirmed_at_ = std::max({confirmed_at_, newest_sufficient, oldest_evidence});
+        confirm(proof_kind::all_asked, std::max(newest_sufficient, oldest_evidence));
         std::erase_if(joining_, [&](const auto& each) {
             return each.second < oldest_evidence && oldest_evidence - each.second >= joining_time;
         });
@@ -155,9 +163,16 @@
         closed_since_ = time_point::max(); // The promotion was abandoned and the hold ended.
     }
     if (!others) {
-        confirmed_at_ = std::max(confirmed_at_, primary_answered_at_);
+        confirm(proof_kind::no_other_registered, primary_answered_at_);
     } else if (all_down != time_point::max()) {
-        confirmed_at_ = std::max(confirmed_at_, all_down);
+        confirm(proof_kind::all_others_refused, all_down);
+    }
+}
+
+void group_leadership::confirm(proof_kind kind, time_point requested_at) {
+    if (requested_at > confirmed_at_) {
+        confirmed_at_ = requested_at;
+        confirmed_by_ = kind;
     }
 }
 
--- a/src/core/sessions/group_observer.cpp
+++ b/src/core/sessions/group_observer.cpp
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include <algorithm>
-#include <tuple>
 
 namespace jackdawvane {
 
@@ -196,37 +195,6 @@
     }
 }
 
-void group_observer::report_proofs(time_point now, proxy_output& out) {
-    for (const auto& [group, leadership] : state_.leaderships) {
-        const auto& proof = leadership.proof();
-        if (!proof) {
-            continue;
-        }
-        const auto found = reported_proofs_.find(group);
-        if (found != reported_proofs_.end()) {
-            auto& last = found->second.proof;
-            const auto gap = proof->requested_at - last.requested_at;
-            last.requested_at = proof->requested_at;
-            const bool same_terms =
-                std::tie(last.primary, last.term, last.replica_term, last.replica_held_term) ==
-                std::tie(proof->primary, proof->term, proof->replica_term,
-                         proof->replica_held_term);
-            const bool same_replica = last.replica == proof->replica ||
-                                      now - found->second.at < settings_.proof_report_interval;
-            if (same_terms && same_replica && gap < settings_.proof_report_interval) {
-                continue;
-            }
-        }
-        reported_proofs_[group] = {*proof, now};
-        log(out.common, log_component, log_level::info,
-            "proof group=" + group.str() + " primary=" + proof->primary.str() + " term=" +
-                std::to_string(proof->term.value()) + " replica=" + proof->replica.str() +
-                " replica_term=" + std::to_string(proof->replica_term.value()) +
-                " held_term=" + std::to_string(proof->replica_held_term.value()) +
-                " age_ms=" + age_text(now, proof->requested_at));
-    }
-}
-
 void group_observer::poll_servers(time_point now, proxy_output& out) {
     for (const auto& [backend, entry] : state_.directory.entries()) {
         if (observed_.contains(entry.registration.group)) {
@@ -373,7 +341,7 @@
         if (const auto* entry = state_.directory.find(backend)) {
             state_.leadership(entry->registration.group).on_refused(tried, backend);
         }
-        log(out.common, log_component, log_level::warning, "refused backend=" + backend.str());
+        report_refusal(now, backend, was_open, tried, out);
     }
     return true;
 }
--- a/src/programs/jackdawvane-backend.cpp
+++ b/src/programs/jackdawvane-backend.cpp
@@ -23,11 +23,12 @@
 int main(int argc, char** argv) {
     using namespace jackdawvane::standin;
     return guarded_main("jackdawvane-backend", [&] {
-        auto options = docopt::docopt(usage, {argv + 1, argv + argc}, true, version_text);
+        auto options = docopt::docopt(usage, {argv + 1, argv + argc}, true, version_text());
         auto settings = read_settings<backend_settings>(options["--settings"].asString());
         if (options["--record"]) {
             settings.record_bytes = static_cast<std::uint64_t>(options["--record"].asLong());
         }
+        log_start("jackdawvane-backend");
         asio::io_context io{1};
         backend_server server{io, std::move(settings)};
         run_until_signal(io);
--- a/src/programs/jackdawvane-limits.cpp
+++ b/src/programs/jackdawvane-limits.cpp
@@ -1,3 +1,5 @@
+#include "jackdawvane/foundation/code_version.hpp"
+
 #include <cstdint>
 #include <cstdio>
 #include <fstream>
@@ -62,7 +64,8 @@
 
 int main(int argc, char** argv) {
     const auto arguments =
-        docopt::docopt(usage, {argv + 1, argv + argc}, true, "jackdawvane-limits 0.1.0");
+        docopt::docopt(usage, {argv + 1, argv + argc}, true,
+                       std::string{"jackdawvane-limits "} + jackdawvane::code_version());
     std::uint64_t seed{0};
     std::uint64_t runs{0};
     try {
--- a/src/programs/jackdawvane-load.cpp
+++ b/src/programs/jackdawvane-load.cpp
@@ -84,7 +84,8 @@
 
 int main(int argc, char** argv) {
     return guarded_main("jackdawvane-load", [&] {
-        auto options = docopt::docopt(usage, {argv + 1, argv + argc}, true, version_text);
+        auto options = docopt::docopt(usage, {argv + 1, argv + argc}, true, version_text());
+        log_start("jackdawvane-load");
         asio::io_context io{1};
         const auto results =
             options["direct"].asBool() ? run_comparison(io, options) : run_load(io, options);
--- a/src/programs/jackdawvanectl.cpp
+++ b/src/programs/jackdawvanectl.cpp
@@ -1,3 +1,5 @@
+#include "jackdawvane/foundation/code_version.hpp"
+
 #include <utility>
 
 #include <cstdlib>
@@ -117,7 +119,7 @@
         std::cout << usage;
         return done;
     } catch (const docopt::DocoptExitVersion&) {
-        std::cout << "jackdawvanectl 0.1.0\n";
+        std::cout << "jackdawvanectl " << jackdawvane::code_version() << '\n';
         return done;
     } catch (const docopt::DocoptArgumentError&) {
         std::cerr << usage;
--- a/src/programs/jackdawvaned.cpp
+++ b/src/programs/jackdawvaned.cpp
@@ -1,4 +1,5 @@
 #include "jackdawvane/adapters/settings_reader.hpp"
+#include "jackdawvane/foundation/code_version.hpp"
 #include "jackdawvane/node/node.hpp"
 
 #include <utility>
@@ -6,6 +7,7 @@
 #include <csignal>
 #include <exception>
 #include <iostream>
+#include <string>
 
 #include "jackdawvaned/daemon.hpp"
 #include "jackdawvaned/daemon_settings.hpp"
@@ -30,7 +32,6 @@
 
 SIGTERM or SIGINT stops gracefully; a second signal exits at once.
 )";
-constexpr auto version = "jackdawvaned 0.1.0";
 constexpr int exit_invalid_settings = 2;
 constexpr int exit_second_signal = 3;
 
@@ -54,7 +55,9 @@
 
 int main(int argc, char** argv) {
     try {
-        const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true, version);
+        const auto arguments =
+            docopt::docopt(usage, {argv + 1, argv + argc}, true,
+                           std::string{"jackdawvaned "} + jackdawvane::code_version());
         const auto file = arguments.at("--settings").asString();
         jackdawvane::settings_problems problems;
         const auto settings =
--- a/src/programs/jackdawvaned/daemon.cpp
+++ b/src/programs/jackdawvaned/daemon.cpp
@@ -8,6 +8,7 @@
 #include "jackdawvane/adapters/peer_port_adapter.hpp"
 #include "jackdawvane/adapters/process_identity.hpp"
 #include "jackdawvane/adapters/store_port_adapter.hpp"
+#include "jackdawvane/foundation/code_version.hpp"
 
 #include <utility>
 
@@ -59,6 +60,8 @@
           backends{io, {settings.vm, settings.address}, sink()}, store{io, store_settings(settings),
                                                                        sink()},
           api{sink(), *node, [this] { return metrics_text(); }}, exit_timer{io} {
+        telemetry.log({"daemon", log_level::info,
+                       "start vm=" + settings.vm.str() + " version=" + code_version()});
         host.start({api, backends, store, peers, telemetry});
     }
 
--- a/src/standins/common/program.hpp
+++ b/src/standins/common/program.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jackdawvane/foundation/code_version.hpp"
 #include "jackdawvane/foundation/json_codec.hpp"
 
 #include <fstream>
@@ -14,7 +15,14 @@
 namespace jackdawvane::standin {
 
 /// @brief Version that all stand-in programs print.
-inline constexpr const char* version_text = "jackdawvane 0.1.0";
+[[nodiscard]] inline std::string version_text() {
+    return std::string{"jackdawvane "} + code_version();
+}
+
+/// @brief Writes the line with which the program @a name starts.
+inline void log_start(const char* name) {
+    std::clog << "[program] start name=" << name << " version=" << code_version() << std::endl;
+}
 
 /// @brief Parses @a text (JSON with comments) as @a Settings.
 /// @throws std::runtime_error that names the invalid key
@@ -68,8 +76,9 @@
 template <class Settings, class Server>
 int serve_settings_file(const char* name, const char* usage, int argc, char** argv) {
     return guarded_main(name, [&] {
-        auto options = docopt::docopt(usage, {argv + 1, argv + argc}, true, version_text);
+        auto options = docopt::docopt(usage, {argv + 1, argv + argc}, true, version_text());
         const auto settings = read_settings<Settings>(options["--settings"].asString());
+        log_start(name);
         asio::io_context io{1};
         Server server{io, settings};
         run_until_signal(io);
--- a/tests/adapters/decision_logger_test.cpp
+++ b/tests/adapters/decision_logger_test.cpp
@@ -57,5 +57,41 @@
     EXPECT_EQ(count("[log] left_out=490 statement.not_done=490"), 1U);
 }
 
+struct decisive_line {
+    const char* name;
+    const char* part;
+    const char* text;
+};
+
+class DecisiveLines : public DecisionLogger, public testing::WithParamInterface<decisive_line> {};
+
+/// Guards against a flood that leaves out what tells why a VM used a primary (issue 37), and
+/// against decisive lines without a bound.
+TEST_P(DecisiveLines, AreWrittenBesideAFlood) {
+    log_settings settings;
+    settings.file = file.string();
+    settings.lines_per_second = 10;
+    decision_logger logger{settings};
+    for (int i = 0; i < 500; ++i) {
+        logger.write({"statement", log_level::info, "retry request=" + std::to_string(i)});
+        logger.write({"member", log_level::warning, "foreign_reply backend=a"});
+        // More kinds than are counted apart.
+        logger.write({"flood", log_level::info, std::string(static_cast<std::size_t>(i), 'k')});
+    }
+    for (int i = 0; i < 100; ++i) {
+        logger.write({GetParam().part, log_level::info, GetParam().text});
+    }
+    EXPECT_EQ(count(std::string{"["} + GetParam().part + "] " + GetParam().text), 20U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Kinds, DecisiveLines,
+    testing::Values(decisive_line{"Promotion", "promotion", "i-3d51 start reason=crashed"},
+                    decisive_line{"Duty", "duty", "acquired fence=7"},
+                    decisive_line{"Failover", "failover", "begins group=a"},
+                    decisive_line{"Proof", "observer", "proof group=a kind=one_replica"},
+                    decisive_line{"Refused", "observer", "refused backend=a was_open=1"}),
+    [](const auto& each) { return std::string{each.param.name}; });
+
 } // namespace
 } // namespace jackdawvane
--- a/tests/adapters/settings_reader_test.cpp
+++ b/tests/adapters/settings_reader_test.cpp
@@ -91,6 +91,7 @@
           "jackdawvane_requests_total{route=\"a\\\"b\"} 3\n", "jackdawvane_vms 3\n",
           "# TYPE jackdawvane_latency_us histogram\n",
           "jackdawvane_latency_us_bucket{le=\"+Inf\"} 3\n", "jackdawvane_latency_us_count 3\n",
+          "# TYPE jackdawvane_build_info gauge\n", "jackdawvane_build_info{version=\"",
           "jackdawvane_process_cpu_seconds_total ", "jackdawvane_process_resident_memory_bytes "}) {
         EXPECT_NE(text.find(expected), std::string::npos) << expected << " is not in\n" << text;
     }
--- a/tests/core/group_leadership_test.cpp
+++ b/tests/core/group_leadership_test.cpp
@@ -202,5 +202,41 @@
     EXPECT_EQ(leadership.point_covering(at(0)), std::nullopt);
 }
 
+struct proof_case {
+    const char* name;
+    std::set<backend_server_id> members;
+    std::set<backend_server_id> refusing;
+    std::set<backend_server_id> answering;
+    proof_kind expected;
+};
+
+class ProofKind : public ::testing::TestWithParam<proof_case> {};
+
+/// Guards against a log that doesn't tell whether a primary was confirmed by an answer or by
+/// refused connections (issue 37).
+TEST_P(ProofKind, TellsWhatConfirmed) {
+    const auto& given = GetParam();
+    group_leadership leadership;
+    leadership.set_members(given.members);
+    leadership.on_status(at(0), at(0), p, primary_status(1, point(1, 5)));
+    for (const auto& server : given.refusing) {
+        leadership.on_refused(at(10), server);
+    }
+    for (const auto& server : given.answering) {
+        leadership.on_status(at(20), at(20), server, replica_status(1, point(1, 5)));
+    }
+    EXPECT_STREQ(to_string(leadership.confirmed_by()), to_string(given.expected));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Kinds, ProofKind,
+    ::testing::Values(proof_case{"Nothing", {p, r1, r2}, {}, {}, proof_kind::none},
+                      proof_case{"OneReplica", {p, r1, r2}, {}, {r1}, proof_kind::one_replica},
+                      proof_case{"AllAsked", {p, r1, r2}, {r1, r2}, {r1, r2}, proof_kind::all_asked},
+                      proof_case{"OnlyServer", {p}, {}, {}, proof_kind::no_other_registered},
+                      proof_case{
+                          "AllRefused", {p, r1, r2}, {r1, r2}, {}, proof_kind::all_others_refused}),
+    [](const auto& each) { return std::string{each.param.name}; });
+
 } // namespace
 } // namespace jackdawvane
--- a/tests/core/group_observer_test.cpp
+++ b/tests/core/group_observer_test.cpp
@@ -409,5 +409,42 @@
 INSTANTIATE_TEST_SUITE_P(GroupObserver, RegistryReadersTurnedAway,
                          ::testing::Values(0U, 1U, 2U, 5U));
 
+/// Guards against a primary that is confirmed by refused connections without a line or a metric
+/// (issue 37).
+TEST(GroupObserver, ProofByRefusalsIsLoggedAndCounted) {
+    observing_vm vm{7};
+    const auto g = group_at(3);
+    proxy_output out;
+    vm.observer.on_query(at(0), vm.state.live[8].vm, {1, 1, {g}}, out);
+    const auto opened = vm.tick(at(10));
+    vm.state.leadership(g).on_status(at(11), at(11), backend_server_id{"g03a"},
+                                     primary_status(1, point(1, 5)));
+    for (const auto& each : opened.sessions) {
+        const auto* start = std::get_if<open_server_connection>(&each);
+        if (start != nullptr && start->group == g && start->expected != backend_server_id{"g03a"}) {
+            vm.observer.on_closed(at(12), {start->connection, close_reason::refused}, out);
+        }
+    }
+    ASSERT_EQ(vm.state.leadership(g).confirmed_by(), proof_kind::all_others_refused);
+    const auto ticked = vm.tick(at(40));
+    out.common.insert(out.common.end(), ticked.common.begin(), ticked.common.end());
+    std::string lines;
+    std::string counted;
+    for (const auto& each : out.common) {
+        if (const auto* line = std::get_if<log_record>(&each)) {
+            lines += line->text + "\n";
+        } else if (const auto* value = std::get_if<measurement>(&each)) {
+            counted += std::string{value->name} + " " + value->label_value + "\n";
+        }
+    }
+    EXPECT_NE(lines.find("refused backend=g03b was_open=0 ms=2\n"), std::string::npos) << lines;
+    EXPECT_NE(lines.find("proof group=g03 kind=all_others_refused primary=g03a term=1 replica=-"),
+              std::string::npos)
+        << lines;
+    EXPECT_NE(counted.find("server_refusals_total g03c"), std::string::npos) << counted;
+    EXPECT_NE(counted.find("primary_confirmations_total all_others_refused"), std::string::npos)
+        << counted;
+}
+
 } // namespace
 } // namespace jackdawvane
