--- a/include/jackdawvane/adapters/peer_port_adapter.hpp
+++ b/include/jackdawvane/adapters/peer_port_adapter.hpp
@@ -4,6 +4,7 @@
 #include "jackdawvane/adapters/peer_traffic.hpp"
 #include "jackdawvane/node/ports.hpp"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -21,6 +22,7 @@
     endpoint listen;           ///< TCP and UDP; port 0 picks a free port.
     std::string local_address; ///< Source IP address of connections; empty for any.
     std::string secret;        ///< Key of the MAC of each message, shared by the fleet.
+    std::function<void(std::string)> log{}; ///< Receives a summary after each configuration.
 };
 
 /// @brief Exchanges messages with other VMs as JSON-RPC notifications over TCP and UDP.
--- a/include/jackdawvane/adapters/peer_traffic.hpp
+++ b/include/jackdawvane/adapters/peer_traffic.hpp
@@ -4,6 +4,8 @@
 #include "jackdawvane/node/action_dispatcher.hpp"
 #include "jackdawvane/node/peer.hpp"
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -31,6 +33,18 @@
     void add(direction way, peer_channel channel, const char* method, const vm_id& vm,
              std::size_t bytes);
 
+    /// @brief Counts the time that encoding (`sent`), or decoding and handling (`received`), a
+    /// message of @a method took on the thread that answers.
+    void add_work(direction way, const char* method, std::chrono::microseconds spent);
+
+    /// @brief Notes that @a bytes wait in the queue of one channel.
+    void note_queue(std::size_t bytes) { largest_queue_ = std::max(largest_queue_, bytes); }
+
+    /// @brief One line with the bytes and times of the messages of the configuration, and the
+    /// largest queue of a channel; empty unless they changed since the last call but one and not
+    /// since the last call.
+    [[nodiscard]] std::string configuration_summary();
+
     /// @brief Counts a dropped message.
     void add_drop(peer_drop_reason reason) { ++drops_[reason]; }
 
@@ -63,6 +77,11 @@
     std::unordered_map<vm_id, region_id> regions_;
     std::map<key, counter> by_method_;
     std::map<key, counter> by_region_;
+    std::map<key, counter> work_;  ///< Microseconds.
+    std::size_t largest_queue_{0}; ///< Bytes since the last report.
+    std::size_t summary_queue_{0}; ///< Bytes since the last summary.
+    std::string summary_;          ///< As of the last call.
+    bool summary_printed_{true};
     std::map<peer_drop_reason, std::uint64_t> drops_;
     std::map<peer_drop_reason, std::uint64_t> reported_drops_;
 };
--- a/include/jackdawvane/configuration/configuration_replica.hpp
+++ b/include/jackdawvane/configuration/configuration_replica.hpp
@@ -81,6 +81,16 @@
     [[nodiscard]] bool is_delegate() const noexcept { return is_delegate_; }
 
   private:
+    /// Pulls since the last revision was put in force.
+    struct pull_statistics {
+        unsigned sent{0};
+        unsigned timed_out{0};
+        unsigned without_progress{0};
+        unsigned served{0}; ///< Pulls of other VMs that were answered.
+        [[nodiscard]] std::string text() const;
+    };
+
+    [[nodiscard]] bool is_near(const vm_id& vm) const;
     void send(const vm_id& to, peer_message message, actions& out) const;
     void watch(time_point now, actions& out);
     void watch_failed(time_point now);
@@ -110,6 +120,7 @@
     time_point watch_at_{};
     duration watch_back_off_;
 
+    pull_statistics pulls_;
     revision wanted_; ///< Highest revision known to exist.
     vm_id source_;    ///< VM that has to answer the pending pull; empty when none is pending.
     std::set<vm_id> tried_sources_;
--- a/src/adapters/peer_outgoing.hpp
+++ b/src/adapters/peer_outgoing.hpp
@@ -33,6 +33,11 @@
     /// @brief Closes the channel without invoking the callback.
     void discard();
 
+    /// @brief Bytes that the connection has not accepted yet.
+    [[nodiscard]] std::size_t queued_bytes() const noexcept {
+        return queued_.size() + (writing_ ? in_flight_.size() : 0);
+    }
+
     [[nodiscard]] const endpoint& remote() const noexcept { return remote_; }
 
   private:
--- a/src/adapters/peer_port_adapter.cpp
+++ b/src/adapters/peer_port_adapter.cpp
@@ -20,6 +20,12 @@
 constexpr auto sweep_interval = std::chrono::milliseconds{200};
 constexpr std::size_t datagram_limit = 60000; // bytes
 constexpr std::size_t incoming_limit = 4096;  // connections
+constexpr auto summary_interval = std::chrono::seconds{1};
+
+std::chrono::microseconds microseconds_since(std::chrono::steady_clock::time_point start) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() -
+                                                                 start);
+}
 
 } // namespace
 
@@ -52,6 +58,7 @@
     void accept();
     void receive_datagram();
     void sweep();
+    void log_summary(std::chrono::steady_clock::time_point now);
 
     boost::asio::io_context& context_;
     peer_port_settings settings_;
@@ -59,6 +66,7 @@
     detail::peer_authenticator authenticator_;
     detail::json_rpc_reader reader_;
     peer_traffic traffic_;
+    std::chrono::steady_clock::time_point next_summary_{};
     detail::tcp_acceptor acceptor_;
     detail::udp_socket datagrams_;
     detail::steady_timer sweep_timer_;
@@ -68,6 +76,7 @@
     detail::udp::endpoint datagram_source_;
     received current_{};
     std::string text_;
+    const char* method_{""}; ///< Of the message that was received last.
     bool decoded_{false};
     bool stopped_{false};
 };
@@ -118,7 +127,10 @@
 
 void peer_port_adapter::implementation::send(const send_to_peer& request) {
     traffic_.update_regions(request.message);
+    const auto started = std::chrono::steady_clock::now();
     auto text = authenticated_text(request.message);
+    traffic_.add_work(peer_traffic::direction::sent, method_of(request.message),
+                      microseconds_since(started));
     if (request.channel == peer_channel::stream) {
         send_line(request, std::move(text));
     } else {
@@ -130,7 +142,9 @@
     line += '\n';
     traffic_.add(peer_traffic::direction::sent, peer_channel::stream, method_of(request.message),
                  request.vm, line.size());
-    channel_to(request)->send(line);
+    const auto channel = channel_to(request);
+    channel->send(line);
+    traffic_.note_queue(channel->queued_bytes());
 }
 
 std::shared_ptr<detail::peer_outgoing>
@@ -184,11 +198,14 @@
         traffic_.add_drop(peer_drop_reason::wrong_mac);
         return false;
     }
+    const auto started = std::chrono::steady_clock::now();
     text_.assign(*text);
     current_ = {channel, message.size()};
     decoded_ = false;
     if (!reader_.read(text_) || !decoded_) {
         traffic_.add_drop(peer_drop_reason::malformed);
+    } else {
+        traffic_.add_work(peer_traffic::direction::received, method_, microseconds_since(started));
     }
     return true;
 }
@@ -207,6 +224,7 @@
     decoded_ = true;
     peer_received arrived{vm_id{from.asString()}, vm_incarnation{incarnation.asUInt64()},
                           std::move(message).value()};
+    method_ = method_of(arrived.message);
     traffic_.update_regions(arrived.message);
     traffic_.add(peer_traffic::direction::received, current_.channel, method_of(arrived.message),
                  arrived.from, current_.bytes);
@@ -269,10 +287,21 @@
         for (const auto& channel : incoming) {
             channel->sweep(now);
         }
+        self->log_summary(now);
         self->sweep();
     });
 }
 
+void peer_port_adapter::implementation::log_summary(std::chrono::steady_clock::time_point now) {
+    if (!settings_.log || now < next_summary_) {
+        return;
+    }
+    next_summary_ = now + summary_interval;
+    if (auto text = traffic_.configuration_summary(); !text.empty()) {
+        settings_.log(std::move(text));
+    }
+}
+
 peer_port_adapter::peer_port_adapter(boost::asio::io_context& context,
                                      const peer_port_settings& settings, event_sink sink)
     : implementation_{std::make_shared<implementation>(context, settings, std::move(sink))} {
--- a/src/adapters/peer_traffic.cpp
+++ b/src/adapters/peer_traffic.cpp
@@ -1,11 +1,18 @@
 #include "jackdawvane/adapters/peer_traffic.hpp"
 
+#include <utility>
+
+#include <string_view>
+
 namespace jackdawvane {
 
 namespace {
 
 const std::string unknown_region{"unknown"};
 
+constexpr std::string_view configuration_methods{"configuration."};
+constexpr std::string_view announcements{"configuration.announce"};
+
 const char* text_of(peer_channel channel) noexcept {
     return channel == peer_channel::stream ? "tcp " : "udp ";
 }
@@ -35,6 +42,37 @@
     by_region_[{way, channel, region_of(vm)}].total += bytes;
 }
 
+void peer_traffic::add_work(direction way, const char* method, std::chrono::microseconds spent) {
+    work_[{way, peer_channel::stream, method}].total += static_cast<std::uint64_t>(spent.count());
+}
+
+std::string peer_traffic::configuration_summary() {
+    std::string text;
+    const auto append = [&](const std::map<key, counter>& counters, const char* unit) {
+        for (const auto& [counted, sum] : counters) {
+            if (counted.name.starts_with(configuration_methods) && counted.name != announcements) {
+                text += std::string{" "} +
+                        (counted.way == direction::sent ? "sent_" : "received_") +
+                        counted.name.substr(configuration_methods.size()) + unit +
+                        std::to_string(sum.total);
+            }
+        }
+    };
+    append(by_method_, "_bytes=");
+    append(work_, "_us=");
+    summary_queue_ = std::max(summary_queue_, largest_queue_);
+    if (text != summary_) {
+        summary_ = std::move(text);
+        summary_printed_ = false;
+        return {};
+    }
+    if (std::exchange(summary_printed_, true)) {
+        return {};
+    }
+    return "configuration traffic" + summary_ +
+           " largest_queue_bytes=" + std::to_string(std::exchange(summary_queue_, 0));
+}
+
 const std::string& peer_traffic::region_of(const vm_id& vm) const {
     const auto found = regions_.find(vm);
     return found == regions_.end() ? unknown_region : found->second.str();
@@ -72,6 +110,17 @@
         const auto added = bytes.total - std::exchange(bytes.reported, bytes.total);
         count_bytes(out, name, "path", path_label(counted), added);
     }
+    for (auto& [counted, spent] : work_) {
+        const auto* const name = counted.way == direction::sent ? "peer_encode_microseconds_total"
+                                                                : "peer_handle_microseconds_total";
+        const auto added = spent.total - std::exchange(spent.reported, spent.total);
+        count_bytes(out, name, "method", counted.name, added);
+    }
+    out.measure({metric_kind::gauge,
+                 "peer_largest_queue_bytes",
+                 "",
+                 {},
+                 static_cast<double>(std::exchange(largest_queue_, 0))});
     for (const auto& [reason, total] : drops_) {
         const auto added = total - std::exchange(reported_drops_[reason], total);
         const auto* const text = reason == peer_drop_reason::wrong_mac ? "wrong_mac" : "malformed";
--- a/src/core/configuration/configuration_replica.cpp
+++ b/src/core/configuration/configuration_replica.cpp
@@ -141,7 +141,8 @@
     document_ = std::make_shared<const configuration_document>(std::move(document));
     log(out, log_component, log_level::info,
         "revision " + std::to_string(present().value()) + " in force, from " +
-            (source.empty() ? "the store" : source.str()));
+            (source.empty() ? "the store" : source.str()) + pulls_.text());
+    pulls_ = {};
     if (is_delegate_) {
         announce(source, out);
     }
@@ -200,6 +201,8 @@
 }
 
 void configuration_replica::pull_from(time_point now, const vm_id& source, actions& out) {
+    ++pulls_.sent;
+    count(out, "configuration_pulls_total", "source", is_near(source) ? "near" : "far");
     source_ = source;
     next_pull_ = now + settings_.min_pull_interval;
     tried_sources_.insert(source);
@@ -219,6 +222,10 @@
 }
 
 void configuration_replica::pull_next(time_point now, actions& out) {
+    if (!source_.empty()) {
+        ++pulls_.timed_out;
+        count(out, "configuration_pull_outcomes_total", "outcome", "timed_out");
+    }
     source_ = vm_id{};
     if (!last_announcer_.empty() && !tried_sources_.contains(last_announcer_)) {
         pull_from(now, last_announcer_, out);
@@ -250,6 +257,7 @@
             answer.document = *document_;
         }
     }
+    ++pulls_.served;
     send(from, std::move(answer), out);
 }
 
@@ -261,6 +269,7 @@
         return;
     }
     source_ = vm_id{};
+    count(out, "configuration_pull_outcomes_total", "outcome", progress ? "progress" : "none");
     if (progress) {
         pull_entire_document_ = false;
         pull_back_off_ = settings_.retry_floor;
@@ -274,9 +283,22 @@
         pull_at_ = next_pull_;
         return;
     }
+    ++pulls_.without_progress;
     pull_next(now, out);
 }
 
+bool configuration_replica::is_near(const vm_id& vm) const {
+    return std::any_of(live_.begin(), live_.end(), [&](const vm_entry& entry) {
+        return entry.vm == vm && entry.place.domain == settings_.domain;
+    });
+}
+
+std::string configuration_replica::pull_statistics::text() const {
+    return " pulls=" + std::to_string(sent) + " timed_out=" + std::to_string(timed_out) +
+           " without_progress=" + std::to_string(without_progress) +
+           " answers_served=" + std::to_string(served);
+}
+
 bool configuration_replica::adopt_edits(const configuration_difference& sent, const vm_id& source,
                                         actions& out) {
     if (!document_ || sent.edits.empty()) {
