--- a/include/jackdawvane/sessions/group_observer.hpp
+++ b/include/jackdawvane/sessions/group_observer.hpp
@@ -148,6 +148,7 @@
         connection_id connection;
         bool open{false};
         time_point opened_at{};
+        time_point ended_at{time_point::min()}; ///< End of the last open connection.
         std::deque<sent_command> sent;
         time_point next_status{};
         time_point retry_at{};
@@ -182,9 +183,9 @@
     void report_age(time_point now, proxy_output& out);
     /// Logs and counts for each group what confirms its primary, when it has changed or is new.
     void report_proofs(time_point now, proxy_output& out);
-    /// Logs and counts a refused connection attempt, which began at @a tried.
-    void report_refusal(time_point now, const backend_server_id& backend, bool was_open,
-                        time_point tried, proxy_output& out);
+    /// Logs and counts the refusal of the last connection attempt to @a backend.
+    void report_refusal(time_point now, const backend_server_id& backend,
+                        const control_connection& own, proxy_output& out);
     void poll_servers(time_point now, proxy_output& out);
     /// Replica whose statuses prove that the primary of @a group has not been replaced.
     [[nodiscard]] backend_server_id proving_replica(const group_id& group) const;
--- a/src/core/sessions/group_observer.cpp
+++ b/src/core/sessions/group_observer.cpp
@@ -333,6 +333,7 @@
     const bool was_open = own.open;
     own.connection = connection_id{};
     own.open = false;
+    own.ended_at = was_open ? now : own.ended_at;
     // The end of an open connection may mean that the process has ended: reconnect immediately.
     own.retry_at = was_open ? now : now + settings_.reconnect_delay;
     if (closed.reason == close_reason::refused) {
@@ -341,7 +342,7 @@
         if (const auto* entry = state_.directory.find(backend)) {
             state_.leadership(entry->registration.group).on_refused(tried, backend);
         }
-        report_refusal(now, backend, was_open, tried, out);
+        report_refusal(now, backend, own, out);
     }
     return true;
 }
--- a/src/core/sessions/group_observer_proofs.cpp
+++ b/src/core/sessions/group_observer_proofs.cpp
@@ -40,11 +40,11 @@
 
 } // namespace
 
-void group_observer::report_refusal(time_point now, const backend_server_id& backend, bool was_open,
-                                    time_point tried, proxy_output& out) {
+void group_observer::report_refusal(time_point now, const backend_server_id& backend,
+                                    const control_connection& own, proxy_output& out) {
     log(out.common, log_component, log_level::warning,
-        "refused backend=" + backend.str() + " was_open=" + (was_open ? "1" : "0") +
-            " ms=" + std::to_string(to_milliseconds(now - tried)));
+        "refused backend=" + backend.str() + " attempt_age_ms=" + age_text(now, own.opened_at) +
+            " ended_age_ms=" + age_text(now, own.ended_at));
     count(out.common, "server_refusals_total", "backend", backend.str());
 }
 
--- a/src/standins/jackdawvane-link/link_server.cpp
+++ b/src/standins/jackdawvane-link/link_server.cpp
@@ -66,18 +66,29 @@
         return error_reply(400, decoded.error().message());
     }
     const auto& fault = decoded.value();
-    if (!are_pairs(fault.cut) || !are_pairs(fault.heal) || !are_pairs(fault.silence)) {
+    if (!are_pairs(fault.cut) || !are_pairs(fault.heal) || !are_pairs(fault.silence) ||
+        !are_pairs(fault.reset)) {
         return error_reply(400, "a pair is a list of two place names");
     }
     if (fault.heal_all) {
         state_.net.heal_all();
+        for (auto& relay : tcp_relays_) {
+            relay.listen();
+        }
     }
+    for_each_to(fault.listen, &tcp_relay::listen);
     for (const auto& pair : fault.heal) {
         state_.net.heal({pair[0], pair[1]});
     }
     for (const auto& pair : fault.cut) {
         state_.net.cut({pair[0], pair[1]});
     }
+    for_each_to(fault.refuse, &tcp_relay::refuse);
+    for (const auto& pair : fault.reset) {
+        for (auto& relay : tcp_relays_) {
+            relay.reset({pair[0], pair[1]});
+        }
+    }
     for (const auto& pair : fault.silence) {
         for (auto& relay : tcp_relays_) {
             relay.silence({pair[0], pair[1]});
@@ -87,6 +98,14 @@
     return json_reply(Json::objectValue);
 }
 
+void link_server::for_each_to(const std::vector<std::string>& places, void (tcp_relay::*change)()) {
+    for (auto& relay : tcp_relays_) {
+        if (std::find(places.begin(), places.end(), relay.place()) != places.end()) {
+            (relay.*change)();
+        }
+    }
+}
+
 http_reply link_server::inspect() const {
     auto json = state_.net.inspect();
     std::size_t connections{0};
--- a/src/standins/jackdawvane-link/link_server.hpp
+++ b/src/standins/jackdawvane-link/link_server.hpp
@@ -42,17 +42,23 @@
     }
 };
 
-/// @brief Body of `POST /fault`. Each pair is a list of two place names.
+/// @brief Body of `POST /fault`. Each pair is a list of two place names. Healing and listening come
+/// first, then cuts, refusals and the faults of open connections.
 struct link_fault {
     std::vector<std::vector<std::string>> cut;
     std::vector<std::vector<std::string>> heal;
     std::vector<std::vector<std::string>> silence;
-    bool heal_all{false};
+    std::vector<std::vector<std::string>> reset; ///< Open connections that receive a reset.
+    std::vector<std::string> refuse;             ///< Places that refuse new connections.
+    std::vector<std::string> listen;             ///< Places that accept connections again.
+    bool heal_all{false}; ///< No cut is left, and all places accept connections.
 
     static constexpr auto fields() {
-        return std::tuple{field("cut", &link_fault::cut), field("heal", &link_fault::heal),
-                          field("silence", &link_fault::silence),
-                          field("heal_all", &link_fault::heal_all)};
+        return std::tuple{
+            field("cut", &link_fault::cut),          field("heal", &link_fault::heal),
+            field("silence", &link_fault::silence),  field("reset", &link_fault::reset),
+            field("refuse", &link_fault::refuse),    field("listen", &link_fault::listen),
+            field("heal_all", &link_fault::heal_all)};
     }
 };
 
@@ -71,6 +77,8 @@
     awaitable<http_reply> handle(http_server::connection_ptr connection,
                                  const http_request& request);
     http_reply fault(const http_request& request);
+    /// Calls @a change on each TCP relay to one of @a places.
+    void for_each_to(const std::vector<std::string>& places, void (tcp_relay::*change)());
     [[nodiscard]] http_reply inspect() const;
 
     link_state state_;
--- a/src/standins/jackdawvane-link/relays.cpp
+++ b/src/standins/jackdawvane-link/relays.cpp
@@ -23,16 +23,49 @@
     return {local.address().to_string(), local.port()};
 }
 
+/// Closes @a socket so that its peer receives a reset.
+void abort(tcp::socket& socket) {
+    error_code ignored;
+    socket.set_option(tcp::socket::linger{true, 0}, ignored);
+    socket.close(ignored);
+}
+
 } // namespace
 
-tcp_relay::tcp_relay(link_state& state, const endpoint& listen, endpoint target)
-    : state_{state}, acceptor_{state.io, asio_endpoint<tcp::endpoint>(listen), true},
-      target_{std::move(target)}, place_{state.net.place_of(listen.address)} {
-    asio::co_spawn(state_.io, accept(), asio::detached);
+tcp_relay::tcp_relay(link_state& state, const endpoint& where, endpoint target)
+    : state_{state}, listen_{where}, target_{std::move(target)}, place_{state.net.place_of(
+                                                                     where.address)} {
+    listen();
+}
+
+void tcp_relay::listen() {
+    if (acceptor_) {
+        return;
+    }
+    acceptor_ =
+        std::make_shared<tcp::acceptor>(state_.io, asio_endpoint<tcp::endpoint>(listen_), true);
+    listen_ = local_of(*acceptor_);
+    asio::co_spawn(state_.io, accept(acceptor_), asio::detached);
+}
+
+void tcp_relay::refuse() {
+    if (acceptor_) {
+        error_code ignored;
+        acceptor_->close(ignored);
+        acceptor_.reset();
+    }
 }
 
-endpoint tcp_relay::local() const {
-    return local_of(acceptor_);
+void tcp_relay::reset(const place_pair& pair) {
+    for (const auto& connection : connections_) {
+        const auto& direction = connection->to_server;
+        if (state_.net.matches(pair, direction.from, direction.to)) {
+            abort(connection->client);
+            abort(connection->server);
+            connection->to_server.changed.notify();
+            connection->to_client.changed.notify();
+        }
+    }
 }
 
 void tcp_relay::silence(const place_pair& pair) {
@@ -44,10 +77,10 @@
     }
 }
 
-awaitable<void> tcp_relay::accept() {
-    for (;;) {
+awaitable<void> tcp_relay::accept(std::shared_ptr<tcp::acceptor> acceptor) {
+    while (acceptor->is_open()) {
         error_code failed;
-        auto socket = co_await acceptor_.async_accept(returning(failed));
+        auto socket = co_await acceptor->async_accept(returning(failed));
         if (failed) {
             co_await sleep_for(milliseconds{10});
             continue;
@@ -61,8 +94,9 @@
     }
 }
 
-awaitable<void> tcp_relay::wait_until_healed(const relayed_direction& direction) {
-    while (state_.net.is_cut(direction.from, direction.to)) {
+awaitable<void> tcp_relay::wait_until_healed(const relayed_connection& connection) {
+    const auto& route = connection.to_server;
+    while (connection.client.is_open() && state_.net.is_cut(route.from, route.to)) {
         co_await state_.cuts_changed.wait_until(steady_clock::time_point::max());
     }
 }
@@ -70,7 +104,7 @@
 // Binds to the client's address, so that the target sees the original source address.
 awaitable<bool> tcp_relay::connect(connection_ptr connection) {
     auto& direction = connection->to_server;
-    co_await wait_until_healed(direction);
+    co_await wait_until_healed(*connection);
     // A TCP handshake takes one round trip before the first byte can be sent.
     co_await sleep_for(2 * state_.net.delay(direction.from, direction.to));
     error_code failed;
@@ -148,7 +182,7 @@
         if (chunk.due > steady_clock::now()) {
             co_await sleep_for(chunk.due - steady_clock::now());
         }
-        co_await wait_until_healed(direction);
+        co_await wait_until_healed(*connection);
         direction.queued_bytes -= chunk.bytes.size();
         direction.changed.notify();
         if (chunk.bytes.empty()) {
--- a/src/standins/jackdawvane-link/relays.hpp
+++ b/src/standins/jackdawvane-link/relays.hpp
@@ -58,31 +58,42 @@
 /// @brief Relays TCP connections of one listening endpoint.
 ///
 /// A cut delays bytes and new connections until it is healed, as TCP retransmission would. A
-/// silenced connection drops all further bytes and never recovers.
+/// silenced connection drops all further bytes and never recovers. A relay that refuses has no
+/// listening socket, so the kernel refuses new connections of every place; open ones go on.
 class tcp_relay : private boost::noncopyable {
   public:
     /// @throws boost::system::system_error when the address is in use
     tcp_relay(link_state& state, const endpoint& listen, endpoint target);
 
-    [[nodiscard]] endpoint local() const;
+    [[nodiscard]] const endpoint& local() const noexcept { return listen_; }
+    [[nodiscard]] const std::string& place() const noexcept { return place_; }
     /// @brief Makes the open connections between the places of @a pair drop all further bytes.
     void silence(const place_pair& pair);
+    /// @brief Resets the open connections between the places of @a pair at both ends.
+    void reset(const place_pair& pair);
+    /// @brief Refuses new connections until `listen`.
+    void refuse();
+    /// @brief Accepts connections again.
+    /// @throws boost::system::system_error when the address is in use
+    void listen();
     [[nodiscard]] std::size_t connections() const noexcept { return connections_.size(); }
 
   private:
     using connection_ptr = std::shared_ptr<relayed_connection>;
 
-    awaitable<void> accept();
+    awaitable<void> accept(std::shared_ptr<tcp::acceptor> acceptor);
     awaitable<void> serve(connection_ptr connection);
     awaitable<bool> connect(connection_ptr connection);
     awaitable<void> receive(connection_ptr connection, tcp::socket& socket,
                             relayed_direction& direction);
     awaitable<void> deliver(connection_ptr connection, tcp::socket& socket,
                             relayed_direction& direction);
-    awaitable<void> wait_until_healed(const relayed_direction& direction);
+    /// Returns at once when the connection has been reset.
+    awaitable<void> wait_until_healed(const relayed_connection& connection);
 
     link_state& state_;
-    tcp::acceptor acceptor_;
+    std::shared_ptr<tcp::acceptor> acceptor_; ///< Null while new connections are refused.
+    endpoint listen_;
     endpoint target_;
     std::string place_;
     std::list<connection_ptr> connections_;
--- a/tests/adapters/decision_logger_test.cpp
+++ b/tests/adapters/decision_logger_test.cpp
@@ -90,7 +90,7 @@
                     decisive_line{"Duty", "duty", "acquired fence=7"},
                     decisive_line{"Failover", "failover", "begins group=a"},
                     decisive_line{"Proof", "observer", "proof group=a kind=one_replica"},
-                    decisive_line{"Refused", "observer", "refused backend=a was_open=1"}),
+                    decisive_line{"Refused", "observer", "refused backend=a attempt_age_ms=1"}),
     [](const auto& each) { return std::string{each.param.name}; });
 
 } // namespace
--- a/tests/adapters/link_server_test.cpp
+++ b/tests/adapters/link_server_test.cpp
@@ -20,7 +20,22 @@
     }
 
     endpoint datagrams_endpoint() { return {"127.0.0.1", datagrams_.local_endpoint().port()}; }
-    http_client client() { return {io_, link_->tcp_endpoints().front(), "127.3.1.1"}; }
+    http_client client(const char* from = "127.3.1.1") {
+        return {io_, link_->tcp_endpoints().front(), from};
+    }
+    /// @brief Result of a connection attempt to the relay.
+    error_code connect() {
+        const auto relay = link_->tcp_endpoints().front();
+        tcp::socket socket{io_, {asio::ip::make_address("127.3.1.1"), 0}};
+        error_code failed;
+        socket.connect({asio::ip::make_address(relay.address), relay.port}, failed);
+        return failed;
+    }
+    /// @brief Number of relayed connections.
+    std::uint64_t connections() {
+        http_client control{io_, link_->control(), {}};
+        return post(io_, control, "/inspect", Json::nullValue)["connections"].asUInt64();
+    }
     void fault(const char* text) {
         http_client control{io_, link_->control(), {}};
         post(io_, control, "/fault", json_of(text));
@@ -90,6 +105,51 @@
     EXPECT_EQ(echo(after, 3).asInt(), 3);
 }
 
+/// Guards against a fault that refuses no new connection, or that ends the open ones, too.
+TEST_F(EchoBehindLink, RefusesNewConnectionsAndServesOpenOnes) {
+    auto before = client();
+    EXPECT_EQ(echo(before, 1).asInt(), 1);
+    fault(R"({"refuse":["far"]})");
+    EXPECT_EQ(connect(), asio::error::connection_refused);
+    EXPECT_EQ(echo(before, 2).asInt(), 2);
+    fault(R"({"listen":["far"]})");
+    EXPECT_EQ(connect(), error_code{});
+    fault(R"({"refuse":["far"]})");
+    fault(R"({"heal_all":true})");
+    auto after = client();
+    EXPECT_EQ(echo(after, 3).asInt(), 3);
+}
+
+/// Guards against a cut whose end of a connection looks like an orderly close, and against one that
+/// ends the connections of other places.
+TEST_F(EchoBehindLink, ResetEndsOpenConnectionsOfThePair) {
+    const auto relay = link_->tcp_endpoints().front();
+    const tcp::endpoint target{asio::ip::make_address(relay.address), relay.port};
+    auto other = client("127.3.2.1");
+    EXPECT_EQ(echo(other, 1).asInt(), 1);
+    tcp::socket cut{io_, {asio::ip::make_address("127.3.1.1"), 0}};
+    cut.connect(target);
+    for (auto left = answer_timeout; connections() < 2 && left.count() > 0;
+         left -= milliseconds{5}) {
+        io_.run_for(milliseconds{5});
+    }
+    error_code ended;
+    std::string buffer(1, '\0');
+    cut.async_read_some(asio::buffer(buffer),
+                        [&](error_code failed, std::size_t) { ended = failed; });
+    fault(R"({"cut":[["near","far"]],"reset":[["near","far"]]})");
+    for (auto left = answer_timeout; !ended && left.count() > 0; left -= milliseconds{5}) {
+        io_.run_for(milliseconds{5});
+    }
+    EXPECT_EQ(ended, asio::error::connection_reset);
+    EXPECT_EQ(echo(other, 2).asInt(), 2);
+    for (auto left = answer_timeout; connections() > 1 && left.count() > 0;
+         left -= milliseconds{5}) {
+        io_.run_for(milliseconds{5});
+    }
+    EXPECT_EQ(connections(), 1U);
+}
+
 /// Guards against a relay that drops all datagrams without a cut.
 TEST_F(EchoBehindLink, DatagramsArrive) {
     std::string received;
--- a/tests/core/group_leadership_test.cpp
+++ b/tests/core/group_leadership_test.cpp
@@ -230,12 +230,12 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Kinds, ProofKind,
-    ::testing::Values(proof_case{"Nothing", {p, r1, r2}, {}, {}, proof_kind::none},
-                      proof_case{"OneReplica", {p, r1, r2}, {}, {r1}, proof_kind::one_replica},
-                      proof_case{"AllAsked", {p, r1, r2}, {r1, r2}, {r1, r2}, proof_kind::all_asked},
-                      proof_case{"OnlyServer", {p}, {}, {}, proof_kind::no_other_registered},
-                      proof_case{
-                          "AllRefused", {p, r1, r2}, {r1, r2}, {}, proof_kind::all_others_refused}),
+    ::testing::Values(
+        proof_case{"Nothing", {p, r1, r2}, {}, {}, proof_kind::none},
+        proof_case{"OneReplica", {p, r1, r2}, {}, {r1}, proof_kind::one_replica},
+        proof_case{"AllAsked", {p, r1, r2}, {r1, r2}, {r1, r2}, proof_kind::all_asked},
+        proof_case{"OnlyServer", {p}, {}, {}, proof_kind::no_other_registered},
+        proof_case{"AllRefused", {p, r1, r2}, {r1, r2}, {}, proof_kind::all_others_refused}),
     [](const auto& each) { return std::string{each.param.name}; });
 
 } // namespace
--- a/tests/core/group_observer_test.cpp
+++ b/tests/core/group_observer_test.cpp
@@ -437,7 +437,9 @@
             counted += std::string{value->name} + " " + value->label_value + "\n";
         }
     }
-    EXPECT_NE(lines.find("refused backend=g03b was_open=0 ms=2\n"), std::string::npos) << lines;
+    EXPECT_NE(lines.find("refused backend=g03b attempt_age_ms=2 ended_age_ms=never\n"),
+              std::string::npos)
+        << lines;
     EXPECT_NE(lines.find("proof group=g03 kind=all_others_refused primary=g03a term=1 replica=-"),
               std::string::npos)
         << lines;
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -4,11 +4,11 @@
 Each seed starts the stand-in for the platform, the network relay and six VMs, runs callers with
 SQL sessions, and injects faults in series and overlapping: VMs are killed, stopped, paused and
 restarted; connections are delayed, cut, reset and silenced; backend servers crash, stop answering,
-lag, lose answers, answer twice, are isolated and leave; the store is down or slow, loses answers,
+lag, lose answers, answer twice, refuse connections, are isolated and leave; the store is down or slow, loses answers,
 forgets its history, refuses VMs and comes back from a copy; the configuration changes. Afterwards the checker compares the answers that
 callers received with the statements that backend servers ran.
 
-usage: tools/soak.py [--jobs N] [--keep] [--vms N] [--faults SET] SEED...
+usage: tools/soak.py [--jobs N] [--keep] [--vms N] [--net N] [--faults SET] SEED...
                                                       (a seed is a number or FIRST-LAST)
        tools/soak.py --regression                     (the seeds of tools/soak-seeds.txt)
 """
@@ -27,8 +27,9 @@
 import tempfile
 import time
 
-from soak_callers import Caller, Stranger
+from soak_callers import Caller, Keeper, Stranger
 from soak_judge import judge
+from soak_refusals import RefusalFaults
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 LOAD_S = 18          # faults are injected within this time
@@ -53,7 +54,15 @@
               'restored': ('restore_store', 'restore_between_promotions', 'change_configuration',
                            'crash_member'),
               'full': FAULTS + ('double_member_answers', 'double_member_answers', 'restore_store',
-                              'restore_between_promotions')}
+                              'restore_between_promotions'),
+              'listeners': ('close_listener', 'close_listeners', 'crash_refusing'),
+              'refusing': ('reset_cut', 'reset_cut', 'close_listener', 'close_listeners',
+                           'crash_refusing'),
+              'together': ('reset_cut', 'reset_cut', 'double_group_answers',
+                           'double_group_answers', 'crash_refusing', 'crash_member', 'kill_vm',
+                           'stop_vm', 'cut', 'close_listener')}
+# Some callers keep their sessions; a write that was acknowledged beside a cut is judged, too.
+STRICT_SETS = ('listeners', 'refusing', 'together')
 SETS_WITH_STRANGERS = ('doubled', 'full')
 HOLDER_KEY = 'jackdawvane/duty/promotion'  # of the VM with the coordinator lease
 STRANGERS = 2
@@ -68,14 +77,16 @@
             'org-hot': dict(rate_per_s=8, burst=8)}
 
 
-class Soak:
+class Soak(RefusalFaults):
     """Processes, faults and callers of one seed."""
+    GROUPS, HOLDER_KEY = GROUPS, HOLDER_KEY
 
-    def __init__(self, seed, net, folder, vms, faults, strangers):
+    def __init__(self, seed, net, folder, vms, faults, strangers, strict=False):
         self.random = random.Random(seed)
         self.net, self.folder, self.vm_count, self.faults = net, pathlib.Path(folder), vms, faults
         self.processes, self.events, self.version = {}, [], 0
-        self.strangers = strangers
+        self.strangers, self.strict = strangers, strict
+        self.refusals, self.cut_groups = collections.Counter(), set()
         self.disturbances = []  # [net of the VM or None for all, begin, end]
         self.leaves = []        # (backend server, begin, end)
         self.used_members = set()
@@ -407,9 +418,12 @@
             await self.post(f'{self.site}:{STORE_PORT}', '/kv-txn',
                             dict(writes=[dict(key=f'other/{number}', value='', lease=0)]))
 
+    @staticmethod
+    def decoded(value):
+        return base64.b64decode(value).decode()
+
     async def kill_holder(self):
-        items = (await self.control('/inspect'))['store']['items']
-        holder = base64.b64decode(items.get(HOLDER_KEY, '')).decode()
+        holder = await self.holder()
         if holder in self.processes:
             self.signal(holder, signal.SIGKILL)
             self.note(f'killed {holder}, which had the coordinator lease')
@@ -552,8 +566,9 @@
         callers = []
         for number in range(CALLERS):
             organisation = 'org-hot' if number % 6 == 0 else ('org-a', 'org-b')[number % 2]
-            callers.append(Caller(number, vms, self.callers_address, organisation,
-                                  self.keys[organisation][0], self.random.random()))
+            kind = Keeper if self.strict and number % 2 else Caller
+            callers.append(kind(number, vms, self.callers_address, organisation,
+                                self.keys[organisation][0], self.random.random()))
         callers += [Stranger(CALLERS + number, vms, self.callers_address, 'org-a',
                              self.keys['org-a'][0], number) for number in range(self.strangers)]
         tasks = [asyncio.create_task(caller.run()) for caller in callers]
@@ -575,7 +590,7 @@
                                      for each in caller.statements.values()])))
         self.ended_by_themselves(problems)
         problems += judge(callers, record, state, self.events, organisations(), tail_from,
-                          self.leaves, self.disturbances, self.known_routes)
+                          self.leaves, self.disturbances, self.known_routes, self.strict)
         return problems, callers
 
     async def final_configuration(self, vms):
@@ -597,10 +612,10 @@
                 problems.append(f'{name} ended with status {process.returncode}')
 
 
-def run_seed(seed, slot, keep, vms, faults):
+def run_seed(seed, net, keep, vms, faults):
     with tempfile.TemporaryDirectory(prefix='jackdawvane-soak-') as folder:
-        soak = Soak(seed, f'127.{30 + slot}', folder, vms, FAULT_SETS[faults],
-                    STRANGERS if faults in SETS_WITH_STRANGERS else 0)
+        soak = Soak(seed, net, folder, vms, FAULT_SETS[faults],
+                    STRANGERS if faults in SETS_WITH_STRANGERS else 0, faults in STRICT_SETS)
         callers = []
         try:
             problems, callers = asyncio.run(soak.run())
@@ -647,6 +662,8 @@
     parser.add_argument('--jobs', type=int, default=1)
     parser.add_argument('--vms', type=int, default=VMS)
     parser.add_argument('--faults', choices=FAULT_SETS, default='all')
+    parser.add_argument('--net', type=int, default=30,
+                        help='use the addresses 127.NET and up; other soaks need others')
     parser.add_argument('--keep', action='store_true', help='keep the logs of every seed')
     options = parser.parse_args()
     runs = list(regression_runs()) if options.regression else []
@@ -660,7 +677,8 @@
             child = os.fork()
             seed, faults = runs.pop(0)
             if child == 0:
-                os._exit(min(1, run_seed(seed, free[0], options.keep, options.vms, faults)))
+                os._exit(min(1, run_seed(seed, f'127.{options.net + free[0]}', options.keep,
+                                         options.vms, faults)))
             running[free[0]] = child
             continue
         ended, status = os.wait()
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -32,7 +32,7 @@
         while not self.stopping:
             try:
                 await self.open(self.random.choice(ROUTES))
-                while not self.stopping and self.random.random() > 0.1:
+                while not self.stopping and self.stays():
                     await self.operate()
                     await asyncio.sleep(self.random.uniform(*PAUSE_S))
             except (Ended, OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
@@ -40,6 +40,10 @@
             finally:
                 self.close()
 
+    def stays(self):
+        """Whether the session goes on with another operation."""
+        return self.random.random() > 0.1
+
     async def probe(self, route):
         """Whether a read on a new session of `route` succeeds."""
         try:
@@ -174,6 +178,13 @@
         return ''
 
 
+class Keeper(Caller):
+    """A caller that uses its session until the VM ends it."""
+
+    def stays(self):
+        return True
+
+
 class Stranger(Caller):
     """A caller that sends lines which the protocol allows, but no other caller sends."""
 
--- a/tools/soak_judge.py
+++ b/tools/soak_judge.py
@@ -209,6 +209,26 @@
                 yield f'one: {name} acknowledged at {run["member"]} after {replaced[-1]["id"]} led'
 
 
+def one_acknowledged(evidence):
+    """ONE: a single write or a COMMIT that a primary ran after its replacement and whose success its
+    caller received. Nothing exempts it: a VM that is cut off must not acknowledge."""
+    for entries in evidence.by_transaction.values():
+        last = entries[-1]
+        run = evidence.run_of(last) if last['error'] == '' else None
+        single = last['transaction'] == 0 and writes(last)
+        committed = last['text'] == 'COMMIT' and any(map(writes, entries))
+        if run is None or not (single or committed):
+            continue
+        replaced = [call for call in evidence.promotions
+                    if call['service'] == run['group'] and call['id'] != run['member']
+                    and call.get('effective') and call['effective'] < run['at']
+                    and position(run['position'])[0] < call['term']]
+        if replaced:
+            yield (f'one: {last["id"]} {last["text"]} acknowledged at {run["member"]} for '
+                   f'{last["vm"]} from {run["from"]} {run["at"] - replaced[-1]["effective"]:.2f} s '
+                   f'after {replaced[-1]["id"]} led term {replaced[-1]["term"]}')
+
+
 def quota(evidence, limits):
     """QUOTA: more operations of an organisation than its limit allows in a window of 5 s."""
     first = {}
@@ -277,11 +297,12 @@
 
 
 def judge(callers, record, state, events, limits, tail_from, leaves, disturbances,
-          known_routes):
-    """Returns a text for each violated guarantee."""
+          known_routes, strict=False):
+    """Returns a text for each violated guarantee. `strict`: no cut exempts acknowledged writes."""
     evidence = Evidence(callers, record, state)
     found = []
-    for check in (mixed(evidence), unasked(evidence), pinned(evidence), commits(evidence),
+    primaries = one_acknowledged(evidence) if strict else ()
+    for check in (primaries, mixed(evidence), unasked(evidence), pinned(evidence), commits(evidence),
                   stale(evidence), one(evidence, events), quota(evidence, limits),
                   drain(evidence, leaves, disturbances), reverted(known_routes), served(evidence, tail_from)):
         found += list(check)
