--- a/include/jackdawvane/sessions/failover_coordinator.hpp
+++ b/include/jackdawvane/sessions/failover_coordinator.hpp
@@ -49,9 +49,11 @@
 ///
 /// A replacement first holds all replicas for the next term, so that none of them can prove the old
 /// primary any longer. It waits for each replica until it is held, by this VM or by another one on
-/// its behalf, refuses connections, or has left the registry for so long that no VM uses it as
-/// proof. Replicas that register meanwhile are held, too. It then waits until the old primary
-/// cannot serve or all proofs have expired, then promotes the replica with the longest log. A
+/// its behalf, or has left the registry for so long that no VM uses it as proof. Replicas that
+/// register meanwhile are held, too. It then waits until the old primary has stepped down or all
+/// proofs have expired, then promotes the replica with the longest log. A refused connection starts
+/// a replacement, but is no evidence that a server has ended: a cut may refuse it, and open
+/// connections to the server go on. A
 /// replica that is still held after that stays so until no earlier primary can act: held for the
 /// new term, it does not prove the old primary. A leaving primary steps down first and a replica
 /// receives the rest of its log, so no commit is lost.
@@ -80,7 +82,7 @@
         time_point step_until{no_deadline};
         time_point next_status{};
         time_point held_at{}; ///< When the last replica was held.
-        /// No old primary is known, it refuses connections, or it has become a replica.
+        /// No old primary is known, or it has become a replica.
         bool old_primary_inactive{false};
         /// End of the old primary's log, once it has stepped down.
         std::optional<log_point> old_primary_log_end;
@@ -120,8 +122,6 @@
     void advance_await_takeover(time_point now, const group_id& group, attempt& current,
                                 proxy_output& out);
     [[nodiscard]] bool has_departed(time_point now, const backend_server_id& server) const;
-    /// Whether the promotion need not wait for @a server, which is not held.
-    [[nodiscard]] bool not_running(const backend_server_id& server, const attempt& current) const;
     [[nodiscard]] bool all_held(const attempt& current) const;
     void update_replicas(time_point now, const group_id& group, attempt& current,
                          proxy_output& out);
@@ -155,11 +155,6 @@
     std::map<group_id, time_point> next_attempt_at_;  ///< Earliest start of a group's next attempt.
     std::map<backend_server_id, time_point> reconciled_at_;
     std::map<backend_server_id, server_status> last_status_;
-    struct lead {
-        term led;
-        time_point since; ///< When this VM, as lease holder, first knew the primary of the term.
-    };
-    std::map<group_id, lead> leads_;
     std::map<group_id, time_point> last_call_at_; ///< Last promotion call of this VM.
     earlier_primaries earlier_primaries_;
     /// Replicas that stay held, with the server that may still act as earlier primary, as logged.
--- a/include/jackdawvane/sessions/group_leadership.hpp
+++ b/include/jackdawvane/sessions/group_leadership.hpp
@@ -51,9 +51,9 @@
 ///
 /// All times are those of this VM's clock from before the request was sent, so evidence is never
 /// treated as newer than it is. Before a promotion takes effect, every registered replica is held
-/// for the new term or refuses connections. A replica that the hold may have missed is no
-/// sufficient proof alone: one that the registry no longer lists, and one that has registered or
-/// has refused a connection since all others were last asked.
+/// for the new term. A replica that the hold may have missed is no sufficient proof alone: one that
+/// the registry no longer lists, and one that has registered or has refused a connection, perhaps
+/// because it was restarting, since all others were last asked.
 class group_leadership {
   public:
     explicit group_leadership(leadership_settings settings = {}) : settings_{settings} {}
@@ -114,7 +114,6 @@
         time_point requested_at{};
         bool supports_primary{false}; ///< Answered, knows no newer term and is not held for one.
         bool held{false};
-        bool refused{false};
         listing listed{listing::current};
     };
     struct sample {
--- a/src/core/sessions/earlier_primaries.cpp
+++ b/src/core/sessions/earlier_primaries.cpp
@@ -28,12 +28,10 @@
         return !registered_.contains(each.first) && !departed_.contains(each.first);
     };
     std::erase_if(replica_at_, unknown);
-    std::erase_if(refused_at_, unknown);
 }
 
 void earlier_primaries::on_status(time_point now, const backend_server_id& server,
                                   const server_status& status) {
-    refused_at_.erase(server);
     if (status.role == backend_role::replica) {
         replica_at_[server] = now;
     } else {
@@ -41,10 +39,6 @@
     }
 }
 
-void earlier_primaries::on_refused(time_point requested_at, const backend_server_id& server) {
-    refused_at_[server] = requested_at;
-}
-
 std::set<backend_server_id> earlier_primaries::departed(const group_id& group) const {
     std::set<backend_server_id> found;
     for (const auto& [server, left] : departed_) {
@@ -60,19 +54,16 @@
     return found == departed_.end() ? std::nullopt : std::optional{found->second.at};
 }
 
-bool earlier_primaries::out_of_action(const backend_server_id& server,
-                                      const evidence_start& since) const {
+bool earlier_primaries::out_of_action(const backend_server_id& server, time_point since) const {
     const auto replica = replica_at_.find(server);
-    const auto refused = refused_at_.find(server);
-    return (replica != replica_at_.end() && replica->second >= since.replica) ||
-           (refused != refused_at_.end() && refused->second >= since.refused);
+    return replica != replica_at_.end() && replica->second >= since;
 }
 
 std::optional<backend_server_id> earlier_primaries::possible(time_point now, const group_id& group,
                                                              const backend_directory& directory,
                                                              const backend_server_id& primary,
                                                              const backend_server_id& replica,
-                                                             const evidence_start& since) const {
+                                                             time_point since) const {
     for (const auto& server : directory.members(group)) {
         if (server != primary && server != replica && !out_of_action(server, since)) {
             return server;
@@ -89,12 +80,10 @@
 
 std::string earlier_primaries::evidence_text(time_point now,
                                              const backend_server_id& server) const {
-    const auto age = [&](const auto& times) {
-        const auto found = times.find(server);
-        return found == times.end() ? std::string{"-"} : age_text(now, found->second);
-    };
+    const auto replica = replica_at_.find(server);
     const auto left = departed_.find(server);
-    return "replica_age_ms=" + age(replica_at_) + " refused_age_ms=" + age(refused_at_) +
+    return "replica_age_ms=" +
+           (replica == replica_at_.end() ? std::string{"-"} : age_text(now, replica->second)) +
            " departed_age_ms=" +
            (left == departed_.end() ? std::string{"-"} : age_text(now, left->second.at));
 }
--- a/src/core/sessions/failover_coordinator.cpp
+++ b/src/core/sessions/failover_coordinator.cpp
@@ -31,7 +31,6 @@
         }
         attempts_.clear();
         no_primary_since_.clear();
-        leads_.clear();
         awaited_.clear();
         holder_since_ = now;
         return;
@@ -176,9 +175,7 @@
         end(now, group, "not needed: another VM reaches the primary", out);
         return;
     }
-    current.old_primary_inactive =
-        !current.old_primary ||
-        observer_.refused_at(*current.old_primary) > state_.leadership(group).primary_answered_at();
+    current.old_primary_inactive = !current.old_primary;
     begin_hold(now, group, current, out);
 }
 
@@ -269,9 +266,6 @@
 
 void failover_coordinator::advance_fence(time_point now, const group_id& group, attempt& current,
                                          proxy_output& out) {
-    if (!current.old_primary_inactive && current.old_primary) {
-        current.old_primary_inactive = observer_.refused_at(*current.old_primary) > current.started;
-    }
     update_replicas(now, group, current, out);
     if (!all_held(current)) {
         begin_hold(now, group, current, out);
--- a/src/core/sessions/failover_hold.cpp
+++ b/src/core/sessions/failover_hold.cpp
@@ -31,20 +31,9 @@
     return !left || now - *left >= settings_.departure_timeout;
 }
 
-/// This VM keeps no connection to a server that has left the registry; for such a server the last
-/// attempt counts.
-bool failover_coordinator::not_running(const backend_server_id& server,
-                                       const attempt& current) const {
-    if (state_.directory.find(server) == nullptr) {
-        return earlier_primaries_.refuses(server);
-    }
-    return observer_.refused_at(server) > current.started;
-}
-
 bool failover_coordinator::all_held(const attempt& current) const {
-    return std::all_of(current.replicas.begin(), current.replicas.end(), [&](const auto& each) {
-        return each.second || not_running(each.first, current);
-    });
+    return std::all_of(current.replicas.begin(), current.replicas.end(),
+                       [](const auto& each) { return each.second.has_value(); });
 }
 
 /// Adds and holds the replicas that have registered since the last call, and removes those that can
@@ -80,7 +69,7 @@
     current.next_status = now + settings_.retry_delay;
     std::vector<backend_server_id> servers;
     for (const auto& [server, point] : current.replicas) {
-        if (!point && !not_running(server, current)) {
+        if (!point) {
             send(now, server, command_kind::hold, current.target_term, out);
             servers.push_back(server);
         }
@@ -174,10 +163,10 @@
     for (const auto& [server, point] : current.replicas) {
         const bool listed = state_.directory.find(server) != nullptr;
         text += " " + server.str() + "=" +
-                (point                          ? "held"
-                 : not_running(server, current) ? "refused"
-                 : listed                       ? "silent"
-                                                : "departed");
+                (point                                            ? "held"
+                 : !listed                                        ? "departed"
+                 : observer_.refused_at(server) > current.started ? "refuses"
+                                                                  : "silent");
     }
     log(out.common, promotion_log::component, log_level::info,
         promotion_log::in_group(
--- a/src/core/sessions/failover_reconciliation.cpp
+++ b/src/core/sessions/failover_reconciliation.cpp
@@ -41,13 +41,6 @@
     for (const auto& [backend, entry] : state_.directory.entries()) {
         const auto& group = entry.registration.group;
         const auto& leadership = state_.leadership(group);
-        auto& known = leads_[group];
-        if (known.led != leadership.term()) {
-            known = {leadership.term(), now};
-        }
-        if (observer_.refused_at(backend) >= std::max(known.since, holder_since_)) {
-            earlier_primaries_.on_refused(observer_.refused_at(backend), backend);
-        }
         const auto status = last_status_.find(backend);
         if (status == last_status_.end() || attempts_.contains(group)) {
             continue;
@@ -87,14 +80,14 @@
         primary_silent_for(leadership) > settings_.primary_timeout) {
         return false;
     }
-    earlier_primaries::evidence_start since{holder_since_, leads_[group].since};
+    auto since = holder_since_;
     if (status.held_term > leadership.term()) {
         const auto settled = std::max(holder_since_, last_call_at_[group]) +
                              settings_.call_timeout + settings_.takeover_timeout;
         if (now < settled) {
             return false;
         }
-        since = {settled, settled};
+        since = settled;
     }
     const auto possible =
         earlier_primaries_.possible(now, group, state_.directory, *primary, backend, since);
--- a/src/core/sessions/group_leadership.cpp
+++ b/src/core/sessions/group_leadership.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// A promotion takes longer than this from the hold of a replica until it takes effect, unless the
-/// old primary can no longer serve. Whoever hears nothing of a replica for longer may have missed
+/// old primary has stepped down. Whoever hears nothing of a replica for longer may have missed
 /// the hold, which the promotion ends.
 constexpr duration shortest_promotion = std::chrono::milliseconds{1100};
 
@@ -51,7 +51,7 @@
     }
     const bool supports =
         status.role == backend_role::replica && status.term <= term_ && status.held_term <= term_;
-    own = {requested_at, supports, status.held_term > term_, false, listed};
+    own = {requested_at, supports, status.held_term > term_, listed};
     const auto joined = joining_.find(server);
     if (joined != joining_.end() && supports) {
         joined->second = std::min(joined->second, requested_at);
@@ -84,7 +84,7 @@
 void group_leadership::on_refused(time_point requested_at, const backend_server_id& server) {
     auto& own = evidence_[server];
     if (requested_at >= own.requested_at) {
-        own = {requested_at, false, false, true, listing::current};
+        own = {requested_at, false, false, listing::current};
         joining_[server] = time_point::max();
         update_proof();
     }
@@ -101,15 +101,12 @@
 /// that no promotion can have been missed. After a longer gap, every other server must have been
 /// asked: the replica may not have heard of a promotion, and another server may lead by now. The
 /// same holds for a replica that a hold may have left out (see `joining_` and `listing`); the proof
-/// is then as old as the oldest evidence, because a promotion may have held the others since.
-/// Replicas that are down are proof only when all of them are: any other replica could have been
-/// promoted.
+/// is then as old as the oldest evidence, because a promotion may have held the others since. A
+/// server that refuses connections may lead all the same: a cut may refuse them.
 void group_leadership::update_proof() {
-    auto all_down = time_point::max();
     auto all_free = time_point::max();
     auto newest_support = time_point::min();
     auto newest_sufficient = time_point::min();
-    auto oldest_evidence = time_point::max();
     bool others = false;
     for (const auto& server : members_) {
         if (primary_ == server) {
@@ -118,7 +115,7 @@
         others = true;
         const auto found = evidence_.find(server);
         if (found == evidence_.end()) {
-            all_down = all_free = oldest_evidence = time_point::min();
+            all_free = time_point::min();
             continue;
         }
         const auto& own = found->second;
@@ -128,25 +125,20 @@
                 newest_sufficient = std::max(newest_sufficient, own.requested_at);
             }
         }
-        const bool not_leading = own.supports_primary || own.refused;
-        oldest_evidence =
-            not_leading ? std::min(oldest_evidence, own.requested_at) : time_point::min();
         all_free = own.supports_primary ? std::min(all_free, own.requested_at) : time_point::min();
-        all_down = own.refused ? std::min(all_down, own.requested_at) : time_point::min();
     }
-    const bool supported = newest_support != time_point::min();
     const bool sufficient = newest_sufficient != time_point::min() &&
                             (confirmed_at_ == time_point::min() ||
                              newest_sufficient - confirmed_at_ <= shortest_promotion);
     if (sufficient) {
         confirmed_at_ = std::max(confirmed_at_, newest_sufficient);
     }
-    const bool all_asked = supported && oldest_evidence != time_point::min() &&
-                           newest_support - oldest_evidence <= shortest_promotion;
+    const bool all_asked =
+        others && all_free != time_point::min() && newest_support - all_free <= shortest_promotion;
     if (all_asked) {
-        confirmed_at_ = std::max({confirmed_at_, newest_sufficient, oldest_evidence});
+        confirmed_at_ = std::max({confirmed_at_, newest_sufficient, all_free});
         std::erase_if(joining_, [&](const auto& each) {
-            return each.second < oldest_evidence && oldest_evidence - each.second >= joining_time;
+            return each.second < all_free && all_free - each.second >= joining_time;
         });
     }
     one_suffices_ = newest_sufficient != time_point::min() &&
@@ -156,8 +148,6 @@
     }
     if (!others) {
         confirmed_at_ = std::max(confirmed_at_, primary_answered_at_);
-    } else if (all_down != time_point::max()) {
-        confirmed_at_ = std::max(confirmed_at_, all_down);
     }
 }
 
--- a/tests/core/failover_coordinator_test.cpp
+++ b/tests/core/failover_coordinator_test.cpp
@@ -16,7 +16,7 @@
 TEST_F(FailoverCoordinator, PromotesTheLongestLogOfACrashedPrimaryWithTheFence) {
     run(0, 500);
     crash("p", at(500));
-    run(500, 1000);
+    run(500, 1800);
     ASSERT_FALSE(promotions.empty());
     EXPECT_EQ(promotions.front().backend, backend_server_id{"r1"});
     EXPECT_EQ(promotions.front().fence, 41U);
@@ -42,6 +42,24 @@
     EXPECT_GE(now - 25 - *held, 800); // The validity of a proof.
 }
 
+/// Guards against a promotion beside a primary that serves other VMs, because a cut refuses the
+/// coordinator's connections to it (issue 37).
+TEST_F(FailoverCoordinator, RefusingPrimaryIsReplacedOnlyAfterProofsHaveExpired) {
+    run(0, 500);
+    crash("p", at(500));
+    std::optional<std::int64_t> held;
+    std::int64_t now = 500;
+    for (; promotions.empty() && now < 4000; now += 25) {
+        step(now);
+        if (!held && sent("r1", command_kind::hold) && sent("r2", command_kind::hold)) {
+            held = now;
+        }
+    }
+    ASSERT_TRUE(held);
+    ASSERT_EQ(promotions.size(), 1U);
+    EXPECT_GE(now - 25 - *held, 800); // The validity of a proof.
+}
+
 TEST_F(FailoverCoordinator, DoesNothingWhenTheReplicasAreSilentToo) {
     run(0, 500);
     silent = {"p", "r1", "r2"};
@@ -151,10 +169,10 @@
 TEST_F(FailoverCoordinator, TriesAnotherReplicaWhenTheFirstIsNotRunning) {
     run(0, 500);
     crash("p", at(500));
-    run(500, 1000);
+    run(500, 1800);
     ASSERT_EQ(promotions.size(), 1U);
-    coordinator.on_promotion(at(1000), {group_id{"g"}, backend_server_id{"r1"}, false, true}, out);
-    run(1000, 1400);
+    coordinator.on_promotion(at(1800), {group_id{"g"}, backend_server_id{"r1"}, false, true}, out);
+    run(1800, 2200);
     ASSERT_EQ(promotions.size(), 2U);
     EXPECT_EQ(promotions.back().backend, backend_server_id{"r2"});
 }
@@ -162,13 +180,14 @@
 TEST_F(FailoverCoordinator, OldPrimaryThatComesBackStepsDown) {
     run(0, 500);
     crash("p", at(500));
-    run(500, 1000);
-    coordinator.on_promotion(at(1000), {group_id{"g"}, backend_server_id{"r1"}, true, false}, out);
+    run(500, 1800);
+    ASSERT_EQ(promotions.size(), 1U);
+    coordinator.on_promotion(at(1800), {group_id{"g"}, backend_server_id{"r1"}, true, false}, out);
     complete_promotion("r1", 2);
     status["p"] = primary_status(1, point(1, 10));
     down.clear();
     commands.clear();
-    run(1000, 1500);
+    run(1800, 2300);
     EXPECT_TRUE(sent("p", command_kind::step_down));
 }
 
@@ -183,12 +202,19 @@
     EXPECT_TRUE(sent("r2", command_kind::resume));
 }
 
-TEST_F(FailoverCoordinator, ReplicaIsResumedOnceTheOldPrimaryRefusesConnections) {
+/// Guards against a replica that proves the old primary again, because a cut refuses the
+/// coordinator's connections to that primary (issue 37).
+TEST_F(FailoverCoordinator, ReplicaStaysHeldWhileAnEarlierPrimaryRefuses) {
     const auto now = replace_silent_primary();
     run(now, now + 1000);
     EXPECT_FALSE(sent("r2", command_kind::resume));
     crash("p", at(now + 1000));
-    run(now + 1000, now + 2000);
+    run(now + 1000, now + 4000);
+    EXPECT_FALSE(sent("r2", command_kind::resume));
+    down.clear();
+    silent.clear();
+    run(now + 4000, now + 5000);
+    EXPECT_EQ(status["p"].role, backend_role::replica);
     EXPECT_TRUE(sent("r2", command_kind::resume));
 }
 
--- a/tests/core/failover_hold_test.cpp
+++ b/tests/core/failover_hold_test.cpp
@@ -19,6 +19,34 @@
     EXPECT_FALSE(promotions.empty());
 }
 
+/// Guards against a replica that is left out of the hold because a cut refuses the coordinator's
+/// connections to it, and that goes on proving the primary to other VMs (issue 37).
+TEST_F(FailoverCoordinator, RefusingReplicaIsHeldOrWaitedFor) {
+    run(0, 500);
+    silent = {"p"};
+    crash("r2", at(500));
+    run(500, 7000);
+    EXPECT_TRUE(promotions.empty());
+    down.clear();
+    run(7000, 9000);
+    EXPECT_TRUE(sent("r2", command_kind::hold));
+    EXPECT_EQ(promotions.size(), 1U);
+}
+
+/// Guards against a replica that VMs with an older list use as proof: its refusal before it left
+/// the registry does not show that it has ended (issue 37).
+TEST_F(FailoverCoordinator, RefusingReplicaThatLeftTheRegistryIsWaitedFor) {
+    run(0, 500);
+    silent = {"p"};
+    crash("r2", at(500));
+    run(500, 1000);
+    register_servers(1000, {"p", "r1"});
+    run(1000, 4300);
+    EXPECT_TRUE(promotions.empty());
+    run(4300, 6000);
+    EXPECT_EQ(promotions.size(), 1U);
+}
+
 /// Guards against a replica that registers during a promotion and proves the old primary.
 TEST_F(FailoverCoordinator, ReplicaThatRegistersDuringAPromotionIsHeld) {
     run(0, 500);
--- a/tests/core/group_leadership_test.cpp
+++ b/tests/core/group_leadership_test.cpp
@@ -99,9 +99,17 @@
     confirm_primary(7000);
     leadership.on_status(at(7100), at(7100), r2, replica_status(1, point(1, 5)));
     EXPECT_TRUE(leadership.confirmed(at(7110)));
-    confirm_primary(14'000);
-    leadership.on_refused(at(14'100), r2);
-    EXPECT_TRUE(leadership.confirmed(at(14'110)));
+}
+
+/// Guards against a promoted server that is taken for dead because a cut refuses connections to it
+/// (issue 37).
+TEST_F(GroupLeadership, RefusalIsNoAnswerOfAServerThatMayLeadAfterAGap) {
+    confirm_primary(0);
+    confirm_primary(7000);
+    leadership.on_refused(at(7100), r2);
+    EXPECT_FALSE(leadership.confirmed(at(7110)));
+    leadership.on_status(at(7200), at(7200), r2, replica_status(1, point(1, 5)));
+    EXPECT_TRUE(leadership.confirmed(at(7210)));
 }
 
 /// Guards against a replica that registers after a hold and proves the old primary (issue 31).
@@ -172,12 +180,18 @@
     EXPECT_TRUE(leadership.confirmed(at(100)));
 }
 
-TEST_F(GroupLeadership, OneReplicaThatIsDownProvesNothing) {
+/// Guards against two primaries beside a cut that refuses the connections to every replica
+/// (issue 37).
+TEST_F(GroupLeadership, ServersThatAllRefuseProveNothing) {
     leadership.on_status(at(0), at(0), p, primary_status(1, point(1, 5)));
     leadership.on_refused(at(0), r1);
     EXPECT_FALSE(leadership.confirmed(at(10)));
     leadership.on_refused(at(5), r2);
-    EXPECT_TRUE(leadership.confirmed(at(10)));
+    EXPECT_FALSE(leadership.confirmed(at(10)));
+    confirm_primary(20);
+    leadership.on_refused(at(700), r1);
+    leadership.on_refused(at(700), r2);
+    EXPECT_FALSE(leadership.confirmed(at(820)));
 }
 
 TEST_F(GroupLeadership, SteppedDownPrimaryIsNotUsed) {
