--- a/include/jackdawvane/sessions/failover_coordinator.hpp
+++ b/include/jackdawvane/sessions/failover_coordinator.hpp
@@ -122,6 +122,8 @@
     void advance_await_takeover(time_point now, const group_id& group, attempt& current,
                                 proxy_output& out);
     [[nodiscard]] bool has_departed(time_point now, const backend_server_id& server) const;
+    void send_hold(time_point now, const backend_server_id& server, const attempt& current,
+                   proxy_output& out);
     [[nodiscard]] bool all_held(const attempt& current) const;
     void update_replicas(time_point now, const group_id& group, attempt& current,
                          proxy_output& out);
--- a/src/core/sessions/failover_coordinator.cpp
+++ b/src/core/sessions/failover_coordinator.cpp
@@ -233,7 +233,8 @@
         }
         const auto replica = current.replicas.find(answer.backend);
         const bool holding = current.step == phase::hold || current.step == phase::fence;
-        if (replica != current.replicas.end() && answer.status->held_term >= current.target_term) {
+        if (replica != current.replicas.end() && answer.status->role == backend_role::replica &&
+            answer.status->held_term >= current.target_term) {
             replica->second = answer.status->received;
         } else if (replica != current.replicas.end() && holding) {
             replica->second.reset(); // It has restarted, or has not received the hold yet.
--- a/src/core/sessions/failover_hold.cpp
+++ b/src/core/sessions/failover_hold.cpp
@@ -31,6 +31,17 @@
     return !left || now - *left >= settings_.departure_timeout;
 }
 
+/// A primary can't be held. One that crashed and returned under another id is no old primary by its
+/// id, and steps down first.
+void failover_coordinator::send_hold(time_point now, const backend_server_id& server,
+                                     const attempt& current, proxy_output& out) {
+    const auto known = last_status_.find(server);
+    const bool leads = known != last_status_.end() && known->second.role == backend_role::primary &&
+                       known->second.term < current.target_term;
+    send(now, server, leads ? command_kind::step_down : command_kind::hold, current.target_term,
+         out);
+}
+
 bool failover_coordinator::all_held(const attempt& current) const {
     return std::all_of(current.replicas.begin(), current.replicas.end(),
                        [](const auto& each) { return each.second.has_value(); });
@@ -52,7 +63,7 @@
             if (known == last_status_.end() || known->second.held_term > current.old_term) {
                 current.held_before.insert(server);
             }
-            send(now, server, command_kind::hold, current.target_term, out);
+            send_hold(now, server, current, out);
         }
     }
     std::erase_if(current.replicas,
@@ -70,7 +81,7 @@
     std::vector<backend_server_id> servers;
     for (const auto& [server, point] : current.replicas) {
         if (!point) {
-            send(now, server, command_kind::hold, current.target_term, out);
+            send_hold(now, server, current, out);
             servers.push_back(server);
         }
     }
--- a/tests/core/failover_fixture.hpp
+++ b/tests/core/failover_fixture.hpp
@@ -92,7 +92,9 @@
             auto& current_status = status[name];
             commands.emplace_back(name, command.kind);
             if (command.kind == command_kind::hold) {
-                current_status.held_term = command.term;
+                if (current_status.role == backend_role::replica) { // A primary is not held.
+                    current_status.held_term = command.term;
+                }
             } else if (command.kind == command_kind::resume) {
                 current_status.held_term = term{};
             } else if (command.kind == command_kind::step_down) {
--- a/tests/core/failover_hold_test.cpp
+++ b/tests/core/failover_hold_test.cpp
@@ -47,6 +47,25 @@
     EXPECT_EQ(promotions.size(), 1U);
 }
 
+/// Guards against a group without a primary for good: a primary that has crashed and returns under
+/// another id is no replica that could be held.
+TEST_F(FailoverCoordinator, PrimaryThatReturnsUnderAnotherIdDuringTheHoldStepsDown) {
+    run(0, 500);
+    crash("p", at(500));
+    silent = {"r2"};
+    run(500, 2000);
+    EXPECT_TRUE(promotions.empty());
+    status["p2"] = primary_status(1, point(1, 12));
+    silent.clear();
+    register_servers(2000, {"p2", "r1", "r2"});
+    run(2000, 2500);
+    EXPECT_TRUE(sent("p2", command_kind::step_down));
+    EXPECT_EQ(status["p2"].held_term, term{2});
+    run(2500, 3500);
+    ASSERT_EQ(promotions.size(), 1U);
+    EXPECT_EQ(promotions.front().backend, backend_server_id{"p2"}) << "it has the longest log";
+}
+
 /// Guards against a replica that registers during a promotion and proves the old primary.
 TEST_F(FailoverCoordinator, ReplicaThatRegistersDuringAPromotionIsHeld) {
     run(0, 500);
