--- a/include/jackdawvane/sessions/group_leadership.hpp
+++ b/include/jackdawvane/sessions/group_leadership.hpp
@@ -50,10 +50,9 @@
 /// @brief Evidence that has confirmed a primary.
 enum class proof_kind {
     none,
-    one_replica,         ///< One replica that answers and is not held.
-    all_asked,           ///< Replicas that answer, and all other servers were asked as recently.
-    no_other_registered, ///< The registry lists no other server of the group.
-    all_others_refused   ///< No replica answers; connections to all of them were refused.
+    one_replica,        ///< One replica that answers and is not held.
+    all_asked,          ///< Replicas that answer, and all other servers were asked as recently.
+    no_other_registered ///< The registry lists no other server of the group.
 };
 
 /// @brief Name of @a kind in logs and metrics.
@@ -63,9 +62,9 @@
 ///
 /// All times are those of this VM's clock from before the request was sent, so evidence is never
 /// treated as newer than it is. Before a promotion takes effect, every registered replica is held
-/// for the new term or refuses connections. A replica that the hold may have missed is no
-/// sufficient proof alone: one that the registry no longer lists, and one that has registered or
-/// has refused a connection since all others were last asked.
+/// for the new term. A replica that the hold may have missed is no sufficient proof alone: one that
+/// the registry no longer lists, and one that has registered or has refused a connection, perhaps
+/// because it was restarting, since all others were last asked.
 class group_leadership {
   public:
     explicit group_leadership(leadership_settings settings = {}) : settings_{settings} {}
@@ -128,7 +127,6 @@
         time_point requested_at{};
         bool supports_primary{false}; ///< Answered, knows no newer term and is not held for one.
         bool held{false};
-        bool refused{false};
         listing listed{listing::current};
     };
     struct sample {
--- a/src/core/sessions/failover_hold.cpp
+++ b/src/core/sessions/failover_hold.cpp
@@ -31,20 +31,20 @@
     return !left || now - *left >= settings_.departure_timeout;
 }
 
-/// This VM keeps no connection to a server that has left the registry; for such a server the last
-/// attempt counts.
-bool failover_coordinator::not_running(const backend_server_id& server,
-                                       const attempt& current) const {
-    if (state_.directory.find(server) == nullptr) {
-        return earlier_primaries_.refuses(server);
-    }
-    return observer_.refused_at(server) > current.started;
+/// A primary can't be held. One that crashed and returned under another id is no old primary by its
+/// id, and steps down first.
+void failover_coordinator::send_hold(time_point now, const backend_server_id& server,
+                                     const attempt& current, proxy_output& out) {
+    const auto known = last_status_.find(server);
+    const bool leads = known != last_status_.end() && known->second.role == backend_role::primary &&
+                       known->second.term < current.target_term;
+    send(now, server, leads ? command_kind::step_down : command_kind::hold, current.target_term,
+         out);
 }
 
 bool failover_coordinator::all_held(const attempt& current) const {
-    return std::all_of(current.replicas.begin(), current.replicas.end(), [&](const auto& each) {
-        return each.second || not_running(each.first, current);
-    });
+    return std::all_of(current.replicas.begin(), current.replicas.end(),
+                       [](const auto& each) { return each.second.has_value(); });
 }
 
 /// Adds and holds the replicas that have registered since the last call, and removes those that can
@@ -63,7 +63,7 @@
             if (known == last_status_.end() || known->second.held_term > current.old_term) {
                 current.held_before.insert(server);
             }
-            send(now, server, command_kind::hold, current.target_term, out);
+            send_hold(now, server, current, out);
         }
     }
     std::erase_if(current.replicas,
@@ -80,8 +80,8 @@
     current.next_status = now + settings_.retry_delay;
     std::vector<backend_server_id> servers;
     for (const auto& [server, point] : current.replicas) {
-        if (!point && !not_running(server, current)) {
-            send(now, server, command_kind::hold, current.target_term, out);
+        if (!point) {
+            send_hold(now, server, current, out);
             servers.push_back(server);
         }
     }
@@ -174,10 +174,10 @@
     for (const auto& [server, point] : current.replicas) {
         const bool listed = state_.directory.find(server) != nullptr;
         text += " " + server.str() + "=" +
-                (point                          ? "held"
-                 : not_running(server, current) ? "refused"
-                 : listed                       ? "silent"
-                                                : "departed");
+                (point                                            ? "held"
+                 : !listed                                        ? "departed"
+                 : observer_.refused_at(server) > current.started ? "refuses"
+                                                                  : "silent");
     }
     log(out.common, promotion_log::component, log_level::info,
         promotion_log::in_group(
--- a/src/core/sessions/group_observer_proofs.cpp
+++ b/src/core/sessions/group_observer_proofs.cpp
@@ -15,9 +15,7 @@
 /// The status that proves a primary, or else the confirmation without a replica's status.
 primary_proof proof_of(const group_leadership& leadership) {
     const auto kind = leadership.confirmed_by();
-    const bool by_replica = kind != proof_kind::no_other_registered &&
-                            kind != proof_kind::all_others_refused && leadership.proof();
-    if (by_replica) {
+    if (kind != proof_kind::no_other_registered && leadership.proof()) {
         return *leadership.proof();
     }
     return {leadership.primary().value_or(backend_server_id{}),
--- a/tests/core/failover_hold_test.cpp
+++ b/tests/core/failover_hold_test.cpp
@@ -19,6 +19,53 @@
     EXPECT_FALSE(promotions.empty());
 }
 
+/// Guards against a replica that is left out of the hold because a cut refuses the coordinator's
+/// connections to it, and that goes on proving the primary to other VMs (issue 37).
+TEST_F(FailoverCoordinator, RefusingReplicaIsHeldOrWaitedFor) {
+    run(0, 500);
+    silent = {"p"};
+    crash("r2", at(500));
+    run(500, 7000);
+    EXPECT_TRUE(promotions.empty());
+    down.clear();
+    run(7000, 9000);
+    EXPECT_TRUE(sent("r2", command_kind::hold));
+    EXPECT_EQ(promotions.size(), 1U);
+}
+
+/// Guards against a replica that VMs with an older list use as proof: its refusal before it left
+/// the registry does not show that it has ended (issue 37).
+TEST_F(FailoverCoordinator, RefusingReplicaThatLeftTheRegistryIsWaitedFor) {
+    run(0, 500);
+    silent = {"p"};
+    crash("r2", at(500));
+    run(500, 1000);
+    register_servers(1000, {"p", "r1"});
+    run(1000, 4300);
+    EXPECT_TRUE(promotions.empty());
+    run(4300, 6000);
+    EXPECT_EQ(promotions.size(), 1U);
+}
+
+/// Guards against a group without a primary for good: a primary that has crashed and returns under
+/// another id is no replica that could be held.
+TEST_F(FailoverCoordinator, PrimaryThatReturnsUnderAnotherIdDuringTheHoldStepsDown) {
+    run(0, 500);
+    crash("p", at(500));
+    silent = {"r2"};
+    run(500, 2000);
+    EXPECT_TRUE(promotions.empty());
+    status["p2"] = primary_status(1, point(1, 12));
+    silent.clear();
+    register_servers(2000, {"p2", "r1", "r2"});
+    run(2000, 2500);
+    EXPECT_TRUE(sent("p2", command_kind::step_down));
+    EXPECT_EQ(status["p2"].held_term, term{2});
+    run(2500, 3500);
+    ASSERT_EQ(promotions.size(), 1U);
+    EXPECT_EQ(promotions.front().backend, backend_server_id{"p2"}) << "it has the longest log";
+}
+
 /// Guards against a replica that registers during a promotion and proves the old primary.
 TEST_F(FailoverCoordinator, ReplicaThatRegistersDuringAPromotionIsHeld) {
     run(0, 500);
--- a/tests/core/group_observer_test.cpp
+++ b/tests/core/group_observer_test.cpp
@@ -409,9 +409,8 @@
 INSTANTIATE_TEST_SUITE_P(GroupObserver, RegistryReadersTurnedAway,
                          ::testing::Values(0U, 1U, 2U, 5U));
 
-/// Guards against a primary that is confirmed by refused connections without a line or a metric
-/// (issue 37).
-TEST(GroupObserver, ProofByRefusalsIsLoggedAndCounted) {
+/// Guards against refusals that confirm a primary, or that leave no line and no metric.
+TEST(GroupObserver, RefusalsAreLoggedAndCountedAndConfirmNothing) {
     observing_vm vm{7};
     const auto g = group_at(3);
     proxy_output out;
@@ -425,7 +424,8 @@
             vm.observer.on_closed(at(12), {start->connection, close_reason::refused}, out);
         }
     }
-    ASSERT_EQ(vm.state.leadership(g).confirmed_by(), proof_kind::all_others_refused);
+    EXPECT_EQ(vm.state.leadership(g).confirmed_by(), proof_kind::none);
+    EXPECT_FALSE(vm.state.leadership(g).confirmed(at(40)));
     const auto ticked = vm.tick(at(40));
     out.common.insert(out.common.end(), ticked.common.begin(), ticked.common.end());
     std::string lines;
@@ -440,12 +440,9 @@
     EXPECT_NE(lines.find("refused backend=g03b attempt_age_ms=2 ended_age_ms=never\n"),
               std::string::npos)
         << lines;
-    EXPECT_NE(lines.find("proof group=g03 kind=all_others_refused primary=g03a term=1 replica=-"),
-              std::string::npos)
-        << lines;
+    EXPECT_EQ(lines.find("proof group=g03"), std::string::npos) << lines;
     EXPECT_NE(counted.find("server_refusals_total g03c"), std::string::npos) << counted;
-    EXPECT_NE(counted.find("primary_confirmations_total all_others_refused"), std::string::npos)
-        << counted;
+    EXPECT_EQ(counted.find("primary_confirmations_total"), std::string::npos) << counted;
 }
 
 } // namespace
