--- a/src/standins/common/http_server.cpp
+++ b/src/standins/common/http_server.cpp
@@ -162,6 +162,9 @@
     response.body() = std::move(reply.body);
     response.prepare_payload();
     co_await http::async_write(connection->socket, response, returning(failed));
+    if (!failed && reply.twice) {
+        co_await http::async_write(connection->socket, response, returning(failed));
+    }
     co_return !failed && response.keep_alive();
 }
 
--- a/src/standins/common/http_server.hpp
+++ b/src/standins/common/http_server.hpp
@@ -27,6 +27,7 @@
     std::string body;
     bool dropped{false}; ///< Sends no response; the connection stays open but unresponsive.
     std::map<std::string, std::string> fields{}; ///< Further header fields.
+    bool twice{false};                           ///< The response is sent a second time.
 };
 
 /// @brief One accepted connection.
--- a/src/standins/jackdawvane-site/site_server.cpp
+++ b/src/standins/jackdawvane-site/site_server.cpp
@@ -151,7 +151,9 @@
     promotions_[index]["effective"] =
         std::chrono::duration<double>(steady_clock::now().time_since_epoch()).count();
     promotions_[index]["term"] = Json::UInt64{found->second.find(id)->term};
-    co_return json_reply(Json::objectValue);
+    auto reply = json_reply(Json::objectValue);
+    reply.twice = double_promotions_;
+    co_return reply;
 }
 
 awaitable<http_reply> site_server::control(const http_request& request) {
@@ -191,6 +193,7 @@
                                  milliseconds{*decoded.value().store->restored_ms});
         }
     }
+    double_promotions_ = decoded.value().double_promotions.value_or(double_promotions_);
     if (decoded.value().member) {
         apply(*decoded.value().member);
     }
--- a/src/standins/jackdawvane-site/site_server.hpp
+++ b/src/standins/jackdawvane-site/site_server.hpp
@@ -88,9 +88,11 @@
 struct site_fault {
     std::optional<store_fault> store;
     std::optional<member_fault> member;
+    std::optional<bool> double_promotions; ///< Answers to promotion calls are sent twice.
 
     static constexpr auto fields() {
-        return std::tuple{field("store", &site_fault::store), field("member", &site_fault::member)};
+        return std::tuple{field("store", &site_fault::store), field("member", &site_fault::member),
+                          field("double_promotions", &site_fault::double_promotions)};
     }
 };
 
@@ -132,6 +134,7 @@
     std::list<served_member> members_;
     Json::Value runs_{Json::arrayValue};
     Json::Value promotions_{Json::arrayValue};
+    bool double_promotions_{false};
     http_server control_server_;
     http_server store_server_;
     http_server promotion_server_;
--- a/tests/adapters/site_standin_test.cpp
+++ b/tests/adapters/site_standin_test.cpp
@@ -164,6 +164,33 @@
                     store_call{"no_path", "GET", "/other", "", 404}),
     [](const auto& tested) { return std::string{tested.param.name}; });
 
+/// Guards against a fault that repeats no answer: the soak would not play what it says.
+TEST(StandInHttpServer, SendsAnAnswerTwiceOnRequest) {
+    asio::io_context io{1};
+    const http_server server{
+        io, any_port(),
+        [](http_server::connection_ptr, const http_request&) -> awaitable<http_reply> {
+            http_reply reply{200, "x", {}};
+            reply.twice = true;
+            co_return reply;
+        }};
+    tcp::socket client{io};
+    client.connect({asio::ip::make_address(server.local().address), server.local().port});
+    asio::write(client, asio::buffer(std::string{"GET / HTTP/1.1\r\nHost: a\r\n\r\n"}));
+    std::string received;
+    client.non_blocking(true);
+    for (auto left = answer_timeout; left.count() > 0; left -= milliseconds{5}) {
+        io.run_for(milliseconds{5});
+        std::string part(1000, '\0');
+        error_code ignored;
+        received += part.substr(0, client.receive(asio::buffer(part), 0, ignored));
+        if (received.find("HTTP/1.1 200", 1) != std::string::npos) {
+            break;
+        }
+    }
+    EXPECT_NE(received.find("HTTP/1.1 200", 1), std::string::npos) << received;
+}
+
 class SessionGroup : public testing::Test {
   protected:
     static std::vector<group_member> three_members() {
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -58,11 +58,12 @@
               'listeners': ('close_listener', 'close_listeners', 'crash_refusing'),
               'refusing': ('reset_cut', 'reset_cut', 'close_listener', 'close_listeners',
                            'crash_refusing'),
+              'flapping': ('flapping_cut', 'flapping_cut', 'flapping_cut', 'crash_refusing'),
               'together': ('reset_cut', 'reset_cut', 'double_group_answers',
                            'double_group_answers', 'crash_refusing', 'crash_member', 'kill_vm',
                            'stop_vm', 'cut', 'close_listener')}
 # Some callers keep their sessions; a write that was acknowledged beside a cut is judged, too.
-STRICT_SETS = ('listeners', 'refusing', 'together')
+STRICT_SETS = ('listeners', 'refusing', 'flapping', 'together')
 SETS_WITH_STRANGERS = ('doubled', 'full')
 HOLDER_KEY = 'jackdawvane/duty/promotion'  # of the VM with the coordinator lease
 STRANGERS = 2
--- a/tools/soak_refusals.py
+++ b/tools/soak_refusals.py
@@ -3,9 +3,11 @@
 connections of all VMs; open connections of VMs that are not cut off go on."""
 import asyncio
 import contextlib
+import time
 
 SIDE_VMS = 2            # VMs on the side of the old primary
 RESET_CUT_S = (3, 6)
+FLAPPING_CLOSED_S, FLAPPING_OPEN_S = (0.3, 0.7), (0.1, 0.3)
 CLOSED_S = (1, 6)       # a server accepts no connection and serves the open ones
 
 
@@ -48,7 +50,21 @@
         yield group
         self.cut_groups.discard(group)
 
-    async def reset_cut(self):
+    async def refuse_during_cut(self, places, seconds, flapping):
+        end = time.monotonic() + seconds
+        while (left := end - time.monotonic()) > 0:
+            async with self.refusing(places):
+                closed = self.random.uniform(*FLAPPING_CLOSED_S) if flapping else left
+                await asyncio.sleep(min(left, closed))
+            if flapping:
+                await asyncio.sleep(self.random.uniform(*FLAPPING_OPEN_S))
+
+    async def flapping_cut(self):
+        """As `reset_cut`, with listening sockets that open for moments: VMs that are not cut off
+        connect then, and what the others try is lost."""
+        await self.reset_cut(flapping=True)
+
+    async def reset_cut(self, flapping=False):
         """A primary and some VMs are on one side; the other servers of its group, the store and the
         other VMs are on the other side. Connections between servers and VMs across the cut are
         reset and the replicas refuse new ones; in half of the runs the primary does, too. What VMs
@@ -68,12 +84,11 @@
             refusing = replicas + ([primary] if self.random.random() < 0.5 else [])
             with self.disturbed([None]):
                 await self.member(primary, isolated=True)
-                async with self.refusing(refusing):
-                    await self.link(dict(cut=across + silent, reset=across))
-                    self.note(f'reset cut: {primary} and {near} from {replicas}, {far} and the '
-                              f'store; {refusing} refuse; coordinator {holder}')
-                    await asyncio.sleep(self.random.uniform(*RESET_CUT_S))
-                    await self.link(dict(heal=across + silent))
+                await self.link(dict(refuse=refusing, cut=across + silent, reset=across))
+                self.note(f'reset cut: {primary} and {near} from {replicas}, {far} and the '
+                          f'store; {refusing} refuse; coordinator {holder}')
+                await self.refuse_during_cut(refusing, self.random.uniform(*RESET_CUT_S), flapping)
+                await self.link(dict(heal=across + silent))
                 await self.member(primary, isolated=False)
                 self.note(f'reset cut of {primary} ended')
 
@@ -113,15 +128,17 @@
             self.note(f'backend server {name} runs again')
 
     async def double_group_answers(self):
-        """All servers of a group send a share of their answers twice: those to status requests,
-        holds and resumes included."""
+        """All servers of a group send a share of their answers twice, those to status requests, holds
+        and resumes included; the answers to promotion calls come twice."""
         group = self.random.choice(self.GROUPS)
         fault = dict(double_answers=self.random.choice([0.05, 0.2]), double_cuts=0,
                      double_delay_ms=self.random.choice([10, 100, 300]))
         for place in self.places_of(group):
             await self.member(place, **fault)
+        await self.control('/fault', dict(double_promotions=True))
         self.note(f'backend servers of {group} answer twice: {fault}')
         await asyncio.sleep(self.random.uniform(3, 8))
         for place in self.places_of(group):
             await self.member(place, double_answers=0)
+        await self.control('/fault', dict(double_promotions=False))
         self.note(f'backend servers of {group} answer once')
