--- a/include/jackdawvane/sessions/reply_matcher.hpp
+++ b/include/jackdawvane/sessions/reply_matcher.hpp
@@ -62,8 +62,7 @@
 ///
 /// A second answer is sent at most 300 ms after the first, and a server answers in order. So once a
 /// command that was sent much later than that has a proved answer with a signature, no second
-/// answer to the earlier command follows: its rows, its error and its answer without a signature
-/// are not remembered any longer.
+/// answer to the earlier command follows: neither its rows nor its error are remembered any longer.
 class reply_matcher {
   public:
     /// @brief Judges an answer and remembers it.
@@ -91,11 +90,10 @@
     [[nodiscard]] bool goes_back(const statement_reply& reply) const noexcept;
     void accept(const statement_reply& reply);
 
-    /// Fingerprints of all answers of the connection that have a signature.
-    std::unordered_set<std::uint64_t> signed_;
-    /// Fingerprints of errors and of answers to own commands, with the time when each was last
-    /// received.
-    std::unordered_map<std::uint64_t, time_point> unsigned_;
+    /// Fingerprints of all answers of the connection but errors.
+    std::unordered_set<std::uint64_t> seen_;
+    /// Fingerprints of errors, with the time when each was last received.
+    std::unordered_map<std::uint64_t, time_point> errors_;
     /// Fingerprints of the first row of each answer, and of all its rows, likewise.
     std::map<std::pair<std::uint64_t, std::uint64_t>, time_point> rows_;
     reply_doubt doubt_{reply_doubt::none};
--- a/src/core/sessions/reply_matcher.cpp
+++ b/src/core/sessions/reply_matcher.cpp
@@ -74,10 +74,10 @@
 /// @return whether an equal answer was known
 bool reply_matcher::remember(const statement_reply& reply, time_point received) {
     const auto key = fingerprint(reply);
-    if (reply.problem == statement_error::none && has_signature(reply)) {
-        return !signed_.insert(key).second;
+    if (reply.problem == statement_error::none) {
+        return !seen_.insert(key).second;
     }
-    const auto [known, created] = unsigned_.try_emplace(key, received);
+    const auto [known, created] = errors_.try_emplace(key, received);
     known->second = std::max(known->second, received);
     return !created;
 }
@@ -86,7 +86,7 @@
     const auto settled = [&](const auto& each) {
         return sent - each.second > second_answer_window;
     };
-    std::erase_if(unsigned_, settled);
+    std::erase_if(errors_, settled);
     std::erase_if(rows_, settled);
 }
 
@@ -192,7 +192,7 @@
 }
 
 bool reply_matcher::exhausted() const noexcept {
-    return signed_.size() + unsigned_.size() >= remembered_limit;
+    return seen_.size() + errors_.size() >= remembered_limit;
 }
 
 } // namespace jackdawvane
--- a/tests/core/reply_matcher_test.cpp
+++ b/tests/core/reply_matcher_test.cpp
@@ -168,6 +168,12 @@
         matching_case{"begin_at_an_earlier_position",
                       {{reply_form::write, signed_by("w", idle, 12), reply_verdict::own},
                        {reply_form::begin, done(open, point(1, 10)), reply_verdict::unproved}}},
+        // Ordinary traffic, which a second answer looks like: it ends the connection (issue 37).
+        matching_case{"begin_after_a_transaction_without_writes",
+                      {begin_done,
+                       {reply_form::statement, signed_by("t", open), reply_verdict::own},
+                       {reply_form::return_to_idle, done(idle, point(1, 10)), reply_verdict::own},
+                       again(begin_done, reply_form::begin, reply_verdict::unproved)}},
         matching_case{
             "error_at_an_earlier_position",
             {{reply_form::write, signed_by("w", idle, 12), reply_verdict::own},
