--- a/include/jackdawvane/sessions/failover_coordinator.hpp
+++ b/include/jackdawvane/sessions/failover_coordinator.hpp
@@ -5,6 +5,7 @@
 #include "jackdawvane/sessions/fleet_state.hpp"
 #include "jackdawvane/sessions/group_observer.hpp"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -94,6 +95,9 @@
         backend_server_id candidate;
     };
 
+    /// Whether this VM holds the lease under which its attempts began. Answers arrive before the
+    /// tick after a pause or a cut, and another VM may have held the lease meanwhile.
+    [[nodiscard]] bool may_act(time_point now) const noexcept;
     [[nodiscard]] duration primary_silent_for(const group_leadership& leadership) const;
     [[nodiscard]] std::optional<std::string>
     replacement_reason(time_point now, const group_id& group, bool& planned);
@@ -150,6 +154,7 @@
     group_observer& observer_;
     coordinator_lease& lease_;
     failover_coordinator_settings settings_;
+    std::uint64_t fence_{0};    ///< Fencing token of the lease under which attempts began.
     time_point holder_since_{}; ///< Since when this VM queries all servers as lease holder.
     std::map<group_id, attempt> attempts_;
     std::set<group_id> finished_groups_;              ///< Attempts to erase after the current loop.
--- a/src/core/sessions/failover_coordinator.cpp
+++ b/src/core/sessions/failover_coordinator.cpp
@@ -22,17 +22,24 @@
     return observer_.command(now, backend, std::move(command), out);
 }
 
+bool failover_coordinator::may_act(time_point now) const noexcept {
+    return lease_.held(now) && lease_.fence() == fence_;
+}
+
 void failover_coordinator::tick(time_point now, proxy_output& out) {
     earlier_primaries_.on_directory(now, state_.directory);
-    if (!lease_.held(now)) {
+    if (!may_act(now)) {
         if (!attempts_.empty()) {
             log(out.common, promotion_log::component, log_level::warning,
-                "stopped: the coordinator lease is not held");
+                "stopped: the coordinator lease has ended fence=" + std::to_string(fence_));
         }
         attempts_.clear();
         no_primary_since_.clear();
         awaited_.clear();
         holder_since_ = now;
+        fence_ = lease_.fence();
+    }
+    if (!may_act(now)) {
         return;
     }
     for (const auto& group : state_.directory.groups()) {
@@ -220,10 +227,10 @@
         last_status_[answer.backend] = *answer.status;
         earlier_primaries_.on_status(now, answer.backend, *answer.status);
     }
+    if (!answer.status || !may_act(now)) {
+        return;
+    }
     for (auto& [group, current] : attempts_) {
-        if (!answer.status) {
-            continue;
-        }
         const bool from_old = current.old_primary == answer.backend;
         if (from_old && answer.status->role == backend_role::replica) {
             current.old_primary_inactive = true;
--- a/tests/core/failover_coordinator_test.cpp
+++ b/tests/core/failover_coordinator_test.cpp
@@ -267,5 +267,72 @@
     EXPECT_FALSE(coordinator.replacement_in_progress());
 }
 
+class LateAnswer : public FailoverCoordinator {
+  protected:
+    /// Answers of the replicas arrive before the first tick after a pause that outlasts the lease.
+    void answer_after_the_lease(std::int64_t milliseconds) {
+        out = {};
+        ASSERT_FALSE(lease.held(at(milliseconds)));
+        for (const auto* name : {"r1", "r2"}) {
+            coordinator.on_control(at(milliseconds),
+                                   {backend_server_id{name}, command_kind::status, status[name]},
+                                   out);
+        }
+    }
+    void expect_nothing_sent() const {
+        EXPECT_TRUE(out.sessions.empty());
+        for (const auto& each : out.common) {
+            EXPECT_FALSE(std::holds_alternative<send_to_peer>(each));
+        }
+    }
+};
+
+/// Guards against a promotion that the next holder of the lease knows nothing of (issue 37).
+TEST_F(LateAnswer, AfterTheLeaseCallsForNoPromotion) {
+    run(0, 500);
+    silent.insert("p");
+    run(500, 1500);
+    ASSERT_TRUE(promotions.empty());
+    ASSERT_EQ(status["r2"].held_term, term{2});
+    answer_after_the_lease(6000);
+    expect_nothing_sent();
+}
+
+/// Guards against holds that the next holder of the lease knows nothing of (issue 37).
+TEST_F(LateAnswer, AfterTheLeaseHoldsNoReplica) {
+    state.regions[vm("b", "d2").place.domain] = region_id{};
+    state.live.push_back(vm("b", "d2"));
+    run(0, 500);
+    silent = {"p", "r2"};
+    run(500, 2000);
+    ASSERT_EQ(status["r1"].held_term, term{2});
+    ASSERT_TRUE(coordinator.replacement_in_progress());
+    answer_after_the_lease(6000);
+    expect_nothing_sent();
+}
+
+/// Guards against an attempt that goes on although another VM may have held the lease in between.
+TEST_F(LateAnswer, UnderANewLeaseDoesNotContinueTheAttempt) {
+    run(0, 500);
+    silent.insert("p");
+    run(500, 1500);
+    ASSERT_EQ(status["r2"].held_term, term{2});
+    answer_after_the_lease(6000);
+    out = {};
+    lease.tick(at(6000), 0, out.common);
+    lease.tick(at(8000), 0, out.common);
+    ASSERT_FALSE(out.common.empty());
+    const auto* request = std::get_if<store_request>(&out.common.back());
+    ASSERT_NE(request, nullptr);
+    lease.on_store(at(8001), {request->id, store_status::ok, {}, 42, {}}, out.common);
+    ASSERT_TRUE(lease.held(at(8001)));
+    out = {};
+    coordinator.on_control(at(8001), {backend_server_id{"r1"}, command_kind::status, status["r1"]},
+                           out);
+    expect_nothing_sent();
+    coordinator.tick(at(8001), out);
+    expect_nothing_sent();
+}
+
 } // namespace
 } // namespace jackdawvane
