--- a/include/jackdawvane/sessions/group_leadership.hpp
+++ b/include/jackdawvane/sessions/group_leadership.hpp
@@ -64,6 +64,9 @@
     /// @brief Applies a status of @a server for which the request was sent at @a requested_at.
     void on_status(time_point now, time_point requested_at, const backend_server_id& server,
                    const server_status& status, listing listed = listing::current);
+    /// @brief Drops the evidence of @a server that was requested after @a since: the answers may
+    /// belong to earlier requests. Every other server must be asked again for a proof.
+    void withdraw(const backend_server_id& server, time_point since);
     /// @brief Records that @a server refused a connection attempt that began at @a requested_at.
     void on_refused(time_point requested_at, const backend_server_id& server);
     /// @brief Applies the log position from an answer to a statement sent at @a requested_at.
--- a/include/jackdawvane/sessions/group_observer.hpp
+++ b/include/jackdawvane/sessions/group_observer.hpp
@@ -148,6 +148,7 @@
         connection_id connection;
         bool open{false};
         time_point opened_at{};
+        time_point first_sent_at{no_deadline}; ///< Of the first command on this connection.
         std::deque<sent_command> sent;
         time_point next_status{};
         time_point retry_at{};
@@ -192,6 +193,9 @@
     void open(time_point now, const backend_registration& server, control_connection& own,
               proxy_output& out);
     void disconnect(time_point now, control_connection& own, proxy_output& out);
+    /// Drops evidence that an answer of @a own on which another one has followed may have given.
+    void withdraw_evidence(time_point now, const backend_server_id& backend,
+                           const control_connection& own);
     void expire_queries(time_point now, proxy_output& out);
     void query_directory(time_point now, proxy_output& out);
     void send_query(time_point now, const vm_id& to, std::vector<group_id> groups,
--- a/include/jackdawvane/sessions/reply_matcher.hpp
+++ b/include/jackdawvane/sessions/reply_matcher.hpp
@@ -14,6 +14,10 @@
 
 namespace jackdawvane {
 
+/// A server that answers a command twice does so within this time of the first answer: ten times
+/// the greatest delay of a second answer, as a server may slow down to a tenth of its speed.
+inline constexpr duration second_answer_window = std::chrono::milliseconds{3000};
+
 /// @brief Form of the answer that a command may receive.
 enum class reply_form {
     statement,      ///< Read or commit of a caller: signature, any number of rows.
--- a/src/core/sessions/group_leadership.cpp
+++ b/src/core/sessions/group_leadership.cpp
@@ -90,6 +90,22 @@
     }
 }
 
+void group_leadership::withdraw(const backend_server_id& server, time_point since) {
+    const auto found = evidence_.find(server);
+    if (found == evidence_.end() || found->second.requested_at <= since) {
+        return;
+    }
+    evidence_.erase(found);
+    if (primary_ == server) {
+        primary_answered_at_ = std::min(primary_answered_at_, since);
+        std::erase_if(samples_, [&](const sample& each) { return each.requested_at > since; });
+    }
+    if (confirmed_at_ > since) {
+        confirmed_at_ = since - shortest_promotion;
+    }
+    update_proof();
+}
+
 void group_leadership::on_hold(time_point since, jackdawvane::term closed) {
     if (closed > closed_term_ || closed_since_ == time_point::max()) {
         closed_term_ = closed;
--- a/src/core/sessions/group_observer.cpp
+++ b/src/core/sessions/group_observer.cpp
@@ -2,6 +2,7 @@
 
 #include "jackdawvane/foundation/age_text.hpp"
 #include "jackdawvane/membership/placement.hpp"
+#include "jackdawvane/sessions/reply_matcher.hpp"
 
 #include <utility>
 
@@ -309,6 +310,7 @@
     own.connection = connection_ids_.next();
     own.open = false;
     own.opened_at = now;
+    own.first_sent_at = no_deadline;
     own.next_status = now;
     by_connection_[own.connection] = server.backend;
     out.sessions.emplace_back(
@@ -334,6 +336,7 @@
     if (found == controls_.end() || found->second.connection == connection_id{}) {
         return false;
     }
+    found->second.first_sent_at = std::min(found->second.first_sent_at, now);
     found->second.sent.push_back({command.kind, now});
     out.sessions.emplace_back(send_to_server{found->second.connection, {std::move(command)}});
     return true;
@@ -395,6 +398,7 @@
                 " problem=" + to_string(replied.reply.problem) +
                 " rows=" + std::to_string(replied.reply.rows.size()) + " outcome=closed");
         count(out.common, "member_foreign_replies_total", "verdict", "control");
+        withdraw_evidence(now, backend, own);
         for (const auto& each : std::exchange(own.sent, {})) {
             answers_.push_back({backend, each.kind, {}});
         }
@@ -416,6 +420,20 @@
     return true;
 }
 
+/// The foreign answer may be the own one of the last command, and the answer that counted for that
+/// command a second one to an earlier command. The first answer on a connection is always its own.
+void group_observer::withdraw_evidence(time_point now, const backend_server_id& backend,
+                                       const control_connection& own) {
+    const auto since = std::max(own.first_sent_at, now - second_answer_window);
+    const auto last = observations_.find(backend);
+    if (last != observations_.end() && last->second.requested_at > since) {
+        observations_.erase(last);
+    }
+    if (const auto* entry = state_.directory.find(backend)) {
+        state_.leadership(entry->registration.group).withdraw(backend, since);
+    }
+}
+
 std::vector<control_answer> group_observer::take_answers() {
     return std::exchange(answers_, {});
 }
--- a/src/core/sessions/reply_matcher.cpp
+++ b/src/core/sessions/reply_matcher.cpp
@@ -12,9 +12,6 @@
 namespace {
 
 constexpr const char* own_signature = "-"; ///< In answers to the proxy's own commands.
-/// Ten times the greatest delay of a second answer, as a server may slow down to a tenth of its
-/// speed.
-constexpr duration second_answer_window = std::chrono::milliseconds{3000};
 /// Answers that are remembered for one connection.
 constexpr std::size_t remembered_limit = 4096;
 
--- a/tests/core/group_leadership_test.cpp
+++ b/tests/core/group_leadership_test.cpp
@@ -112,6 +112,24 @@
     EXPECT_TRUE(leadership.confirmed(at(7210)));
 }
 
+/// Guards against a proof, a position of the primary and an answer of it that count as newer than
+/// they are: a second answer was taken for the answer to the next question (issue 37).
+TEST_F(GroupLeadership, WithdrawnEvidenceProvesNothing) {
+    confirm_primary(0);
+    confirm_primary(500);
+    leadership.withdraw(r1, at(250));
+    EXPECT_FALSE(leadership.confirmed(at(510)));
+    leadership.on_status(at(520), at(520), r2, replica_status(1, point(1, 5)));
+    EXPECT_FALSE(leadership.confirmed(at(530))) << "r1 may have been promoted";
+    confirm_primary(540);
+    EXPECT_TRUE(leadership.confirmed(at(550)));
+    leadership.on_status(at(600), at(600), p, primary_status(1, point(1, 9)));
+    ASSERT_EQ(leadership.point_covering(at(551)), point(1, 9));
+    leadership.withdraw(p, at(550));
+    EXPECT_EQ(leadership.point_covering(at(551)), std::nullopt);
+    EXPECT_EQ(leadership.primary_answered_at(), at(550));
+}
+
 /// Guards against a replica that registers after a hold and proves the old primary (issue 31).
 TEST_F(GroupLeadership, ReplicaThatRegisteredLatelyProvesNothingAlone) {
     confirm_primary(0);
--- a/tests/core/group_observer_test.cpp
+++ b/tests/core/group_observer_test.cpp
@@ -259,6 +259,57 @@
                              [](const auto& each) { return each.status.has_value(); }));
 }
 
+/// Guards against a status that counts as newer than it is: the second answer to a question was
+/// taken for the answer to the next one (issue 37).
+TEST(GroupObserver, EvidenceOfAConnectionIsWithdrawnAfterASecondAnswer) {
+    observing_vm vm{7};
+    const auto g = group_at(3);
+    const backend_server_id primary{g.str() + "a"};
+    const backend_server_id doubling{g.str() + "b"};
+    std::map<connection_id, backend_server_id> servers;
+    proxy_output out;
+    vm.observer.on_query(at(0), vm.state.live[8].vm, {1, 1, {g}}, out);
+    const auto status_of = [&](const backend_server_id& server) {
+        return server == primary ? primary_status(1, point(1, 5)) : replica_status(1, point(1, 5));
+    };
+    const auto run = [&](std::int64_t from, std::int64_t until) {
+        for (auto time = from; time < until; time += 25) {
+            for (const auto& each : vm.tick(at(time)).sessions) {
+                if (const auto* start = std::get_if<open_server_connection>(&each)) {
+                    servers[start->connection] = start->expected;
+                    vm.observer.on_ready(at(time), {start->connection, {}}, out);
+                } else if (const auto* sent = std::get_if<send_to_server>(&each)) {
+                    vm.observer.on_reply(
+                        at(time), {sent->connection, {}, status_of(servers.at(sent->connection))},
+                        out);
+                }
+            }
+        }
+    };
+    run(25, 1000);
+    auto& leadership = vm.state.leadership(g);
+    ASSERT_TRUE(leadership.confirmed(at(1000)));
+    for (const auto& [connection, server] : std::map{servers}) {
+        if (server == doubling) {
+            vm.observer.on_reply(at(1000), {connection, {}, status_of(server)}, out);
+        }
+    }
+    EXPECT_FALSE(leadership.confirmed(at(1000)));
+    out = {};
+    vm.observer.on_query(at(1000), vm.state.live[8].vm, {2, 1, {g}}, out);
+    for (const auto& each : out.common) {
+        const auto* sent = std::get_if<send_to_peer>(&each);
+        const auto* reply =
+            sent == nullptr ? nullptr : std::get_if<observation_reply>(&sent->message);
+        if (reply != nullptr) {
+            EXPECT_TRUE(std::none_of(reply->members.begin(), reply->members.end(),
+                                     [&](const auto& own) { return own.backend == doubling; }));
+        }
+    }
+    run(1025, 1500);
+    EXPECT_TRUE(leadership.confirmed(at(1500))) << "all servers have been asked again";
+}
+
 /// VMs of one region and the store, with instant delivery of messages and answers.
 class observing_fleet {
   public:
