--- a/include/jackdawvane/configuration/configuration.hpp
+++ b/include/jackdawvane/configuration/configuration.hpp
@@ -81,6 +81,7 @@
                           field("transaction_idle_ms", &route_row::transaction_idle_ms),
                           field("allowed_regions", &route_row::allowed_regions)};
     }
+    friend bool operator==(const route_row&, const route_row&) = default;
 };
 
 /// @brief State of a backend server in its pool.
@@ -107,6 +108,7 @@
                           field("connection_limit", &backend_server_row::connection_limit),
                           field("state", &backend_server_row::state)};
     }
+    friend bool operator==(const backend_server_row&, const backend_server_row&) = default;
 };
 
 /// @brief One database group: a primary and its replicas.
@@ -124,6 +126,7 @@
                           field("sync_replicas", &group_row::sync_replicas),
                           field("warm_up_rate", &group_row::warm_up_rate)};
     }
+    friend bool operator==(const group_row&, const group_row&) = default;
 };
 
 /// @brief Row of the pools table.
@@ -131,6 +134,7 @@
     std::map<group_id, group_row> groups; ///< Group ids are unique over all pools.
 
     static constexpr auto fields() { return std::tuple{field("groups", &pool_row::groups)}; }
+    friend bool operator==(const pool_row&, const pool_row&) = default;
 };
 
 /// @brief Row of the organisations table.
@@ -146,6 +150,7 @@
                           field("weight", &organisation_row::weight),
                           field("allowed_regions", &organisation_row::allowed_regions)};
     }
+    friend bool operator==(const organisation_row&, const organisation_row&) = default;
 };
 
 /// @brief Row of the keys table; the row's name is the digest of the API key.
@@ -157,6 +162,7 @@
         return std::tuple{field("organisation", &key_row::organisation),
                           field("label", &key_row::label)};
     }
+    friend bool operator==(const key_row&, const key_row&) = default;
 };
 
 /// @brief Change of one row; an absent `before` creates it, an absent `after` deletes it.
--- a/include/jackdawvane/configuration/configuration_replica.hpp
+++ b/include/jackdawvane/configuration/configuration_replica.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "jackdawvane/configuration/configuration_rules.hpp"
+#include "jackdawvane/configuration/configuration_sources.hpp"
+#include "jackdawvane/configuration/configuration_transfer.hpp"
 #include "jackdawvane/foundation/id_sequence.hpp"
 #include "jackdawvane/foundation/random.hpp"
 #include "jackdawvane/node/ports.hpp"
@@ -31,8 +33,13 @@
     duration retry_ceiling{std::chrono::seconds{2}};
     /// Whether a VM without a document reads the store before it knows the delegates.
     bool read_at_start{false};
-    /// Over 10 times the round trip between regions.
-    duration pull_timeout{std::chrono::milliseconds{300}};
+    /// Time for one slice; over 10 times the round trip between regions.
+    duration pull_timeout{std::chrono::milliseconds{500}};
+    /// Time for the entire document, from a VM of an earlier version.
+    duration entire_document_timeout{std::chrono::seconds{2}};
+    /// Time that a VM waits for the store, or for its failure domain, before it asks another VM.
+    duration patience{std::chrono::milliseconds{300}};
+    std::size_t fan_out{4}; ///< VMs of the failure domain that a VM tells of a new revision.
     /// Minimum interval between two pulls, and minimum delay from a new document to the next watch.
     /// They batch edits in quick succession, because processing one document takes a small VM tens
     /// of milliseconds.
@@ -42,9 +49,10 @@
 
 /// @brief This VM's copy of the configuration document; its revision never decreases.
 ///
-/// Two delegates per failure domain watch the store. A delegate announces each new revision to
-/// the VMs of its failure domain and to the delegates of the other failure domains. A VM with an
-/// older revision pulls the edits from another VM.
+/// Two delegates per failure domain watch the store. A delegate announces each new revision to the
+/// delegates of all failure domains; within a failure domain the VMs pass it on as a tree. A VM
+/// with an older revision requests the rows that changed from a VM that has the newer one, in
+/// slices, and checks the digest of the result.
 class configuration_replica {
   public:
     configuration_replica(configuration_replica_settings settings, id_sequence<request_id>& ids,
@@ -59,7 +67,11 @@
 
     void on_announce(time_point now, const vm_id& from, const configuration_announce& announced,
                      actions& out);
-    void on_pull(const vm_id& from, const configuration_pull& pull, actions& out);
+    void on_request(time_point now, const vm_id& from, const configuration_request& request,
+                    actions& out);
+    void on_part(time_point now, const vm_id& from, const configuration_part& part, actions& out);
+    /// @brief Answers a VM of an earlier version.
+    void on_pull(time_point now, const vm_id& from, const configuration_pull& pull, actions& out);
     void on_difference(time_point now, const vm_id& from, const configuration_difference& sent,
                        actions& out);
 
@@ -95,15 +107,21 @@
     void watch(time_point now, actions& out);
     void watch_failed(time_point now);
     void adopt_stored(time_point now, const store_answer& answer, actions& out);
-    bool adopt(configuration_document document, const vm_id& source, actions& out);
-    bool adopt_edits(const configuration_difference& sent, const vm_id& source, actions& out);
+    bool adopt(configuration_document document, std::set<row_name> rows, const vm_id& source,
+               actions& out);
+    bool adopt_whole(configuration_document document, const vm_id& source, actions& out);
+    bool adopt_collected(const vm_id& source, actions& out);
     void announce(const vm_id& source, actions& out);
     [[nodiscard]] bool watches() const noexcept;
     [[nodiscard]] bool behind() const noexcept;
-    void request_revision(time_point now, revision wanted, const vm_id& source, actions& out);
+    [[nodiscard]] bool expects_store_answer() const noexcept;
+    [[nodiscard]] digested_document digested() const;
+    void request_revision(time_point now, revision wanted, const vm_id& source, duration patience,
+                          actions& out);
     void pull_from(time_point now, const vm_id& source, actions& out);
+    void request_part(time_point now, actions& out);
     void pull_next(time_point now, actions& out);
-    [[nodiscard]] std::vector<vm_id> untried_sources() const;
+    void finish_pull(time_point now, bool progress, actions& out);
     [[nodiscard]] duration jittered(duration longest);
 
     configuration_replica_settings settings_;
@@ -111,6 +129,9 @@
     random_engine& random_;
     std::vector<vm_entry> live_;
     std::shared_ptr<const configuration_document> document_;
+    content_digest digest_; ///< Of the rows of `document_`.
+    configuration_history history_;
+    configuration_part_server parts_;
     bool is_delegate_{false};
 
     request_id watch_id_;
@@ -123,11 +144,14 @@
     pull_statistics pulls_;
     revision wanted_; ///< Highest revision known to exist.
     vm_id source_;    ///< VM that has to answer the pending pull; empty when none is pending.
-    std::set<vm_id> tried_sources_;
-    bool pull_entire_document_{false}; ///< The next pull requests the document instead of edits.
-    vm_id last_announcer_;             ///< VM that last reported a newer revision.
-    time_point next_pull_{};           ///< Earliest time of the next pull.
-    time_point pull_at_{};             ///< Timeout of the pull, or start of the next one.
+    configuration_sources sources_;
+    configuration_part_collector collected_;   ///< Of the pending pull.
+    bool pull_all_rows_{false};                ///< The changed rows did not fit to the document.
+    bool busy_source_{false};                  ///< A source that was tried had no time.
+    std::set<vm_id> knows_parts_;              ///< VMs that answered a request.
+    std::map<vm_id, time_point> requested_at_; ///< Last request of each VM.
+    time_point next_pull_{};                   ///< Earliest time of the next pull.
+    time_point pull_at_{};                     ///< Timeout of the pull, or start of the next one.
     duration pull_back_off_;
 };
 
--- a/include/jackdawvane/configuration/configuration_rules.hpp
+++ b/include/jackdawvane/configuration/configuration_rules.hpp
@@ -63,6 +63,11 @@
 [[nodiscard]] std::optional<Json::Value>
 row_value(const configuration_document& document, const std::string& table, const std::string& row);
 
+/// @brief As `row_value`, without the members that have their default.
+[[nodiscard]] std::optional<Json::Value> compact_row_value(const configuration_document& document,
+                                                           const std::string& table,
+                                                           const std::string& row);
+
 /// @brief Sets a row, or deletes it when @a value is absent or null; appends the decoding errors of
 /// @a value to @a problems.
 void set_row(configuration_document& document, const std::string& table, const std::string& row,
--- a/include/jackdawvane/node/peer.hpp
+++ b/include/jackdawvane/node/peer.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jackdawvane/configuration/configuration.hpp"
+#include "jackdawvane/configuration/configuration_difference.hpp"
 #include "jackdawvane/foundation/json_codec.hpp"
 #include "jackdawvane/foundation/types.hpp"
 #include "jackdawvane/limits/share_record.hpp"
@@ -231,7 +231,47 @@
     }
 };
 
-/// @brief Requests all edits after a revision.
+/// @brief Requests the rows that changed since the content that the sender has.
+struct configuration_request {
+    static constexpr const char* method = "configuration.request";
+    jackdawvane::revision after; ///< Revision that the sender has; 0 requests all rows.
+    content_digest digest;       ///< Of the rows that the sender has.
+    /// Revision whose text is requested from `offset` on; 0: the newest, from the start.
+    jackdawvane::revision revision;
+    std::uint32_t offset{0}; ///< Bytes of the text that the sender has.
+
+    static constexpr auto fields() {
+        return std::tuple{field("after", &configuration_request::after),
+                          field("digest", &configuration_request::digest),
+                          field("revision", &configuration_request::revision),
+                          field("offset", &configuration_request::offset)};
+    }
+};
+
+/// @brief A slice of the packed text of changed rows; the receiver requests the next one, so that
+/// no other message waits behind more than one slice.
+struct configuration_part {
+    static constexpr const char* method = "configuration.part";
+    jackdawvane::revision after;    ///< Revision whose rows the text changes; 0: it has all rows.
+    jackdawvane::revision revision; ///< Revision with the changes; 0 when there are none.
+    content_digest digest;          ///< Of the rows of that revision.
+    std::uint32_t offset{0};        ///< Bytes of the text before this slice.
+    std::uint32_t total{0};         ///< Bytes of the entire text.
+    std::string text;
+    bool busy{false}; ///< The sender serves enough others; ask another VM.
+
+    static constexpr auto fields() {
+        return std::tuple{field("after", &configuration_part::after),
+                          field("revision", &configuration_part::revision),
+                          field("digest", &configuration_part::digest),
+                          field("offset", &configuration_part::offset),
+                          field("total", &configuration_part::total),
+                          field("text", &configuration_part::text),
+                          field("busy", &configuration_part::busy)};
+    }
+};
+
+/// @brief Requests the entire document; sent to VMs that do not know `configuration_request`.
 struct configuration_pull {
     static constexpr const char* method = "configuration.pull";
     jackdawvane::revision after;
@@ -241,10 +281,10 @@
     }
 };
 
-/// @brief Edits after the requested revision, or the document when its history lacks some of them.
+/// @brief Answers `configuration_pull`; without a document when it would not be newer.
 struct configuration_difference {
     static constexpr const char* method = "configuration.difference";
-    std::vector<configuration_edit> edits;
+    std::vector<configuration_edit> edits; ///< Empty; VMs of an earlier version expect the list.
     std::optional<configuration_document> document;
 
     static constexpr auto fields() {
@@ -418,9 +458,9 @@
 using peer_message =
     std::variant<group_report, group_summary, forward_request, forward_reply, membership_probe,
                  configuration_announce, configuration_pull, configuration_difference,
-                 token_request, token_grant, token_acknowledgement, share_request, share_notice,
-                 observation_query, observation_reply, group_hold, forwarded_statement,
-                 attempt_result, lease_release>;
+                 configuration_request, configuration_part, token_request, token_grant,
+                 token_acknowledgement, share_request, share_notice, observation_query,
+                 observation_reply, group_hold, forwarded_statement, attempt_result, lease_release>;
 
 /// @brief JSON-RPC method name of @a message.
 [[nodiscard]] const char* method_of(const peer_message& message) noexcept;
--- a/include/jackdawvane/sessions/session_proxy.hpp
+++ b/include/jackdawvane/sessions/session_proxy.hpp
@@ -98,6 +98,10 @@
                  proxy_output& out);
     void receive(time_point now, const peer_received& from, const configuration_pull& message,
                  proxy_output& out);
+    void receive(time_point now, const peer_received& from, const configuration_request& message,
+                 proxy_output& out);
+    void receive(time_point now, const peer_received& from, const configuration_part& message,
+                 proxy_output& out);
     void receive(time_point now, const peer_received& from, const configuration_difference& message,
                  proxy_output& out);
     void receive(time_point now, const peer_received& from, const observation_query& message,
--- a/src/core/configuration/configuration_replica.cpp
+++ b/src/core/configuration/configuration_replica.cpp
@@ -47,6 +47,13 @@
 void configuration_replica::on_membership(time_point now, std::span<const vm_entry> live,
                                           actions& out) {
     live_.assign(live.begin(), live.end());
+    sources_.set_live(live_);
+    const auto is_gone = [&](const vm_id& vm) {
+        return std::none_of(live_.begin(), live_.end(),
+                            [&](const vm_entry& entry) { return entry.vm == vm; });
+    };
+    std::erase_if(knows_parts_, is_gone);
+    std::erase_if(requested_at_, [&](const auto& each) { return is_gone(each.first); });
     const auto chosen =
         delegates(delegate_task, settings_.domain, live_, settings_.delegates_per_domain);
     is_delegate_ = std::find(chosen.begin(), chosen.end(), settings_.self) != chosen.end();
@@ -129,41 +136,59 @@
         return;
     }
     store_version_ = answer.version;
-    adopt(std::move(parsed).value(), {}, out);
+    adopt_whole(std::move(parsed).value(), {}, out);
 }
 
 /// Replaces the current document if the revision of @a document is higher.
-bool configuration_replica::adopt(configuration_document document, const vm_id& source,
-                                  actions& out) {
+bool configuration_replica::adopt(configuration_document document, std::set<row_name> rows,
+                                  const vm_id& source, actions& out) {
     if (document.revision <= present()) {
         return false;
     }
+    const auto before = document_ ? document_ : std::make_shared<const configuration_document>();
+    const auto digest = digest_after(digest_, *before, document, rows);
     document_ = std::make_shared<const configuration_document>(std::move(document));
     log(out, log_component, log_level::info,
         "revision " + std::to_string(present().value()) + " in force, from " +
-            (source.empty() ? "the store" : source.str()) + pulls_.text());
+            (source.empty() ? "the store" : source.str()) + " rows=" + std::to_string(rows.size()) +
+            pulls_.text());
     pulls_ = {};
-    if (is_delegate_) {
-        announce(source, out);
-    }
+    history_.add(before->revision, digest_, std::move(rows));
+    digest_ = digest;
+    parts_.on_changed();
+    collected_.clear();
+    announce(source, out);
     return true;
 }
 
+bool configuration_replica::adopt_whole(configuration_document document, const vm_id& source,
+                                        actions& out) {
+    if (document.revision <= present()) {
+        return false;
+    }
+    auto rows = document_ ? changed_rows(*document_, document) : all_rows(document);
+    return adopt(std::move(document), std::move(rows), source, out);
+}
+
+/// Tells the next VMs of the failure domain. A delegate that read the store also tells the other
+/// delegates, in case only this VM or this failure domain reaches the store.
 void configuration_replica::announce(const vm_id& source, actions& out) {
-    std::set<vm_id> receivers;
-    std::set<failure_domain_id> domains;
-    for (const auto& entry : live_) {
-        if (entry.place.domain == settings_.domain) {
-            receivers.insert(entry.vm);
-        } else {
-            domains.insert(entry.place.domain);
+    const auto ranked = delegates(delegate_task, settings_.domain, live_, live_.size());
+    const auto children =
+        tree_children(ranked, settings_.self, settings_.delegates_per_domain, settings_.fan_out);
+    std::set<vm_id> receivers{children.begin(), children.end()};
+    if (is_delegate_) {
+        std::set<failure_domain_id> domains{settings_.domain};
+        for (const auto& entry : live_) {
+            if (source.empty() || is_near(entry.vm)) {
+                domains.insert(entry.place.domain);
+            }
+        }
+        for (const auto& domain : domains) {
+            const auto chosen =
+                delegates(delegate_task, domain, live_, settings_.delegates_per_domain);
+            receivers.insert(chosen.begin(), chosen.end());
         }
-    }
-    // The delegates of the other domains are notified too, in case only this domain reaches the
-    // store.
-    for (const auto& domain : domains) {
-        const auto chosen = delegates(delegate_task, domain, live_, settings_.delegates_per_domain);
-        receivers.insert(chosen.begin(), chosen.end());
     }
     receivers.erase(settings_.self);
     receivers.erase(source);
@@ -172,30 +197,38 @@
     }
 }
 
+/// A delegate whose watch the store holds gets the revision from there; a pull would send it twice
+/// over the link.
+bool configuration_replica::expects_store_answer() const noexcept {
+    return is_delegate_ && watch_pending_ && document_ && watch_back_off_ == settings_.retry_floor;
+}
+
 void configuration_replica::on_announce(time_point now, const vm_id& from,
                                         const configuration_announce& announced, actions& out) {
-    request_revision(now, announced.revision, from, out);
+    request_revision(now, announced.revision, from,
+                     expects_store_answer() ? settings_.patience : duration{0}, out);
 }
 
+/// The VMs of the own failure domain are about to announce the revision; they are nearer.
 void configuration_replica::on_peer_revision(time_point now, const vm_id& vm, revision heard,
                                              actions& out) {
-    request_revision(now, heard, vm, out);
+    request_revision(now, heard, vm, document_ ? jittered(settings_.patience) : duration{0}, out);
 }
 
 void configuration_replica::request_revision(time_point now, revision wanted, const vm_id& source,
-                                             actions& out) {
+                                             duration patience, actions& out) {
     if (wanted <= present()) {
         return;
     }
+    const bool was_behind = behind();
     wanted_ = std::max(wanted_, wanted);
-    tried_sources_.erase(source);
-    last_announcer_ = source;
+    sources_.note(source, wanted);
     if (!source_.empty()) {
         return;
     }
-    if (document_ && now < next_pull_) {
-        pull_at_ = next_pull_; // Batches later revisions into the same pull.
-    } else {
+    const auto earliest = document_ ? std::max(now + patience, next_pull_) : now;
+    pull_at_ = was_behind ? std::min(pull_at_, earliest) : earliest;
+    if (now >= pull_at_) {
         pull_from(now, source, out);
     }
 }
@@ -205,57 +238,116 @@
     count(out, "configuration_pulls_total", "source", is_near(source) ? "near" : "far");
     source_ = source;
     next_pull_ = now + settings_.min_pull_interval;
-    tried_sources_.insert(source);
-    pull_at_ = now + settings_.pull_timeout;
-    send(source, configuration_pull{pull_entire_document_ ? revision{} : present()}, out);
+    sources_.mark_tried(source);
+    collected_.clear();
+    request_part(now, out);
+    if (!knows_parts_.contains(source)) {
+        // A VM of an earlier version drops the request and answers the pull; others know from the
+        // request that they need not.
+        pull_at_ = now + settings_.entire_document_timeout;
+        send(source, configuration_pull{}, out);
+    }
 }
 
-std::vector<vm_id> configuration_replica::untried_sources() const {
-    std::vector<vm_id> near;
-    std::vector<vm_id> far;
-    for (const auto& entry : live_) {
-        if (entry.vm != settings_.self && !tried_sources_.contains(entry.vm)) {
-            (entry.place.domain == settings_.domain ? near : far).push_back(entry.vm);
-        }
+void configuration_replica::request_part(time_point now, actions& out) {
+    pull_at_ = now + settings_.pull_timeout;
+    auto request = collected_.next(digested());
+    if (pull_all_rows_) {
+        request.after = revision{};
     }
-    return near.empty() ? far : near;
+    send(source_, request, out);
+}
+
+digested_document configuration_replica::digested() const {
+    static const configuration_document none;
+    return {document_ ? *document_ : none, digest_};
 }
 
 void configuration_replica::pull_next(time_point now, actions& out) {
     if (!source_.empty()) {
+        knows_parts_.erase(std::exchange(source_, vm_id{}));
         ++pulls_.timed_out;
         count(out, "configuration_pull_outcomes_total", "outcome", "timed_out");
     }
-    source_ = vm_id{};
-    if (!last_announcer_.empty() && !tried_sources_.contains(last_announcer_)) {
-        pull_from(now, last_announcer_, out);
+    const auto next = sources_.choose(settings_.self, settings_.domain, live_, wanted_, random_);
+    if (next) {
+        pull_from(now, *next, out);
         return;
     }
-    const auto sources = untried_sources();
-    if (sources.empty()) {
-        // No live VM has the wanted revision; a membership probe reports when one has it again.
+    // Unless a VM was busy, no live VM has the wanted revision; a membership probe reports when one
+    // has it again.
+    if (!std::exchange(busy_source_, false)) {
         wanted_ = present();
-        tried_sources_.clear();
-        pull_at_ = now + jittered(pull_back_off_);
-        pull_back_off_ = std::min(2 * pull_back_off_, settings_.retry_ceiling);
+    }
+    sources_.forget_tried();
+    pull_at_ = now + jittered(pull_back_off_);
+    pull_back_off_ = std::min(2 * pull_back_off_, settings_.retry_ceiling);
+}
+
+void configuration_replica::on_request(time_point now, const vm_id& from,
+                                       const configuration_request& request, actions& out) {
+    requested_at_[from] = now;
+    auto part = parts_.answer(now, from, request, digested(), history_);
+    if (part.offset == 0) {
+        ++pulls_.served;
+        count(out, "configuration_requests_total", "answer",
+              part.busy                     ? "busy"
+              : part.revision == revision{} ? "none"
+              : part.after == revision{}    ? "all_rows"
+                                            : "changed_rows");
+    }
+    send(from, std::move(part), out);
+}
+
+void configuration_replica::on_part(time_point now, const vm_id& from,
+                                    const configuration_part& part, actions& out) {
+    knows_parts_.insert(from);
+    if (from != source_) {
         return;
     }
-    std::uniform_int_distribution<std::size_t> any{0, sources.size() - 1};
-    pull_from(now, sources[any(random_)], out);
+    busy_source_ = busy_source_ || part.busy;
+    if (part.busy || part.revision <= present()) {
+        finish_pull(now, false, out);
+        return;
+    }
+    switch (collected_.add(part)) {
+    case configuration_part_collector::progress::incomplete:
+        request_part(now, out);
+        return;
+    case configuration_part_collector::progress::complete:
+        finish_pull(now, adopt_collected(from, out), out);
+        return;
+    default:
+        finish_pull(now, false, out);
+    }
 }
 
-void configuration_replica::on_pull(const vm_id& from, const configuration_pull& pull,
-                                    actions& out) {
+bool configuration_replica::adopt_collected(const vm_id& source, actions& out) {
+    auto changed = collected_.finish(digested());
+    collected_.clear();
+    if (!changed) {
+        log(out, log_component, log_level::warning,
+            "rows from " + source.str() + " cannot be used: " + changed.error().detail);
+        pull_all_rows_ = true;
+        return false;
+    }
+    auto& [document, rows] = changed.value();
+    if (pull_all_rows_ || !document_) {
+        return adopt_whole(std::move(document), source, out);
+    }
+    return adopt(std::move(document), std::move(rows), source, out);
+}
+
+void configuration_replica::on_pull(time_point now, const vm_id& from,
+                                    const configuration_pull& pull, actions& out) {
+    const auto request = requested_at_.find(from);
+    if (request != requested_at_.end() &&
+        now < request->second + settings_.entire_document_timeout) {
+        return; // Its request was answered.
+    }
     configuration_difference answer;
     if (document_ && pull.after < present()) {
-        const auto& edits = document_->recent_edits;
-        if (pull.after > revision{} && has_all_edits_after(*document_, pull.after)) {
-            std::copy_if(
-                edits.begin(), edits.end(), std::back_inserter(answer.edits),
-                [&](const configuration_edit& edit) { return edit.revision > pull.after; });
-        } else {
-            answer.document = *document_;
-        }
+        answer.document = *document_;
     }
     ++pulls_.served;
     send(from, std::move(answer), out);
@@ -263,28 +355,28 @@
 
 void configuration_replica::on_difference(time_point now, const vm_id& from,
                                           const configuration_difference& sent, actions& out) {
-    const bool progress =
-        sent.document ? adopt(*sent.document, from, out) : adopt_edits(sent, from, out);
-    if (from != source_) {
-        return;
+    const bool progress = sent.document && adopt_whole(*sent.document, from, out);
+    if (from == source_) {
+        finish_pull(now, progress, out);
     }
+}
+
+/// Ends the pending pull; starts another one while this VM is behind.
+void configuration_replica::finish_pull(time_point now, bool progress, actions& out) {
     source_ = vm_id{};
     count(out, "configuration_pull_outcomes_total", "outcome", progress ? "progress" : "none");
     if (progress) {
-        pull_entire_document_ = false;
+        pull_all_rows_ = false;
+        busy_source_ = false;
         pull_back_off_ = settings_.retry_floor;
-    }
-    if (!behind()) {
-        tried_sources_.clear();
-        return;
-    }
-    if (progress) {
-        tried_sources_.clear();
+        sources_.forget_tried();
         pull_at_ = next_pull_;
         return;
     }
     ++pulls_.without_progress;
-    pull_next(now, out);
+    if (behind()) {
+        pull_next(now, out);
+    }
 }
 
 bool configuration_replica::is_near(const vm_id& vm) const {
@@ -299,27 +391,4 @@
            " answers_served=" + std::to_string(served);
 }
 
-bool configuration_replica::adopt_edits(const configuration_difference& sent, const vm_id& source,
-                                        actions& out) {
-    if (!document_ || sent.edits.empty()) {
-        return false;
-    }
-    auto changed = *document_;
-    for (const auto& edit : sent.edits) {
-        if (edit.revision != changed.revision.next()) {
-            continue;
-        }
-        auto next = apply(changed, edit);
-        if (!next) {
-            log(out, log_component, log_level::warning,
-                "edits from " + source.str() + " cannot be applied: " + next.error().detail);
-            pull_entire_document_ = true;
-            tried_sources_.erase(source);
-            return false;
-        }
-        changed = std::move(next).value();
-    }
-    return adopt(std::move(changed), source, out);
-}
-
 } // namespace jackdawvane
--- a/src/core/configuration/configuration_rules.cpp
+++ b/src/core/configuration/configuration_rules.cpp
@@ -1,5 +1,7 @@
 #include "jackdawvane/configuration/configuration_rules.hpp"
 
+#include "jackdawvane/foundation/compact_json.hpp"
+
 #include <utility>
 
 #include <algorithm>
@@ -13,6 +15,7 @@
 struct table_access {
     const char* name;
     std::optional<Json::Value> (*value)(const configuration_document&, const std::string&);
+    std::optional<Json::Value> (*compact)(const configuration_document&, const std::string&);
     void (*set)(configuration_document&, const std::string&, const Json::Value&, decode_problems&);
     void (*erase)(configuration_document&, const std::string&);
 };
@@ -26,6 +29,15 @@
     return found == rows.end() ? std::nullopt : std::optional{to_json(found->second)};
 }
 
+template <auto Table>
+std::optional<Json::Value> compact_in(const configuration_document& document,
+                                      const std::string& row) {
+    const auto& rows = document.*Table;
+    using key_type = typename std::decay_t<decltype(rows)>::key_type;
+    const auto found = rows.find(key_type{row});
+    return found == rows.end() ? std::nullopt : std::optional{to_compact_json(found->second)};
+}
+
 template <auto Table>
 void set_in(configuration_document& document, const std::string& row, const Json::Value& json,
             decode_problems& problems) {
@@ -44,7 +56,7 @@
 
 template <auto Table>
 constexpr table_access access(const char* name) {
-    return {name, &value_in<Table>, &set_in<Table>, &erase_in<Table>};
+    return {name, &value_in<Table>, &compact_in<Table>, &set_in<Table>, &erase_in<Table>};
 }
 
 constexpr std::array tables{access<&configuration_document::routes>("routes"),
@@ -183,6 +195,12 @@
     return access == nullptr ? std::nullopt : access->value(document, row);
 }
 
+std::optional<Json::Value> compact_row_value(const configuration_document& document,
+                                             const std::string& table, const std::string& row) {
+    const auto* const access = find_table(table);
+    return access == nullptr ? std::nullopt : access->compact(document, row);
+}
+
 void set_row(configuration_document& document, const std::string& table, const std::string& row,
              const std::optional<Json::Value>& value, std::vector<problem>& problems) {
     const auto* const access = find_table(table);
--- a/src/core/node/node_events.cpp
+++ b/src/core/node/node_events.cpp
@@ -83,9 +83,19 @@
     configuration_.on_announce(now, from.from, message, out);
 }
 
-void node_impl::receive(time_point /*now*/, const peer_received& from,
+void node_impl::receive(time_point now, const peer_received& from,
                         const configuration_pull& message, actions& out) {
-    configuration_.on_pull(from.from, message, out);
+    configuration_.on_pull(now, from.from, message, out);
+}
+
+void node_impl::receive(time_point now, const peer_received& from,
+                        const configuration_request& message, actions& out) {
+    configuration_.on_request(now, from.from, message, out);
+}
+
+void node_impl::receive(time_point now, const peer_received& from,
+                        const configuration_part& message, actions& out) {
+    configuration_.on_part(now, from.from, message, out);
 }
 
 void node_impl::receive(time_point now, const peer_received& from,
--- a/src/core/node/node_impl.hpp
+++ b/src/core/node/node_impl.hpp
@@ -56,6 +56,10 @@
                  actions& out);
     void receive(time_point now, const peer_received& from, const configuration_pull& message,
                  actions& out);
+    void receive(time_point now, const peer_received& from, const configuration_request& message,
+                 actions& out);
+    void receive(time_point now, const peer_received& from, const configuration_part& message,
+                 actions& out);
     void receive(time_point now, const peer_received& from, const configuration_difference& message,
                  actions& out);
     template <class Message>
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -399,9 +399,19 @@
     configuration_.on_announce(now, from.from, message, out.common);
 }
 
-void session_proxy::receive(time_point /*now*/, const peer_received& from,
+void session_proxy::receive(time_point now, const peer_received& from,
                             const configuration_pull& message, proxy_output& out) {
-    configuration_.on_pull(from.from, message, out.common);
+    configuration_.on_pull(now, from.from, message, out.common);
+}
+
+void session_proxy::receive(time_point now, const peer_received& from,
+                            const configuration_request& message, proxy_output& out) {
+    configuration_.on_request(now, from.from, message, out.common);
+}
+
+void session_proxy::receive(time_point now, const peer_received& from,
+                            const configuration_part& message, proxy_output& out) {
+    configuration_.on_part(now, from.from, message, out.common);
 }
 
 void session_proxy::receive(time_point now, const peer_received& from,
--- a/tests/core/configuration_replica_test.cpp
+++ b/tests/core/configuration_replica_test.cpp
@@ -105,7 +105,11 @@
             if (const auto* const a = std::get_if<configuration_announce>(&sent.message)) {
                 replica.on_announce(now, sent.from, *a, node->out);
             } else if (const auto* const p = std::get_if<configuration_pull>(&sent.message)) {
-                replica.on_pull(sent.from, *p, node->out);
+                replica.on_pull(now, sent.from, *p, node->out);
+            } else if (const auto* const r = std::get_if<configuration_request>(&sent.message)) {
+                replica.on_request(now, sent.from, *r, node->out);
+            } else if (const auto* const part = std::get_if<configuration_part>(&sent.message)) {
+                replica.on_part(now, sent.from, *part, node->out);
             } else if (const auto* const d = std::get_if<configuration_difference>(&sent.message)) {
                 replica.on_difference(now, sent.from, *d, node->out);
             }
@@ -303,7 +307,8 @@
             pulls += static_cast<std::size_t>(
                 std::count_if(fleet.messages.begin(), fleet.messages.end(), [&](const auto& sent) {
                     return sent.due == fleet.now &&
-                           std::holds_alternative<configuration_pull>(sent.message);
+                           (std::holds_alternative<configuration_pull>(sent.message) ||
+                            std::holds_alternative<configuration_request>(sent.message));
                 }));
         }
     }
--- a/tools/install-dependencies.sh
+++ b/tools/install-dependencies.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build pkg-config clang-format clang-tidy
     libboost-dev libjsonrpccpp-dev libdocopt-dev liblog4cplus-dev libgtest-dev libssl-dev
-    libxxhash-dev python3 ccache)
+    libxxhash-dev zlib1g-dev python3 ccache)
 missing=()
 for package in "${packages[@]}"; do
     dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' ||
