--- a/include/jackdawvane/sessions/group_observer.hpp
+++ b/include/jackdawvane/sessions/group_observer.hpp
@@ -149,7 +149,7 @@
         bool open{false};
         time_point opened_at{};
         time_point ended_at{time_point::min()}; ///< End of the last open connection.
-        time_point first_sent_at{no_deadline}; ///< Of the first command on this connection.
+        time_point first_sent_at{no_deadline};  ///< Of the first command on this connection.
         std::deque<sent_command> sent;
         time_point next_status{};
         time_point retry_at{};
