--- a/include/jackdawvane/sessions/failover_coordinator.hpp
+++ b/include/jackdawvane/sessions/failover_coordinator.hpp
@@ -83,7 +83,7 @@
         time_point step_until{no_deadline};
         time_point next_status{};
         time_point held_at{}; ///< When the last replica was held.
-        /// No old primary is known, or it has become a replica.
+        /// It has answered as replica. If none is known, other VMs may know and use one.
         bool old_primary_inactive{false};
         /// End of the old primary's log, once it has stepped down.
         std::optional<log_point> old_primary_log_end;
--- a/src/core/sessions/failover_coordinator.cpp
+++ b/src/core/sessions/failover_coordinator.cpp
@@ -182,7 +182,6 @@
         end(now, group, "not needed: another VM reaches the primary", out);
         return;
     }
-    current.old_primary_inactive = !current.old_primary;
     begin_hold(now, group, current, out);
 }
 
--- a/tests/core/failover_coordinator_test.cpp
+++ b/tests/core/failover_coordinator_test.cpp
@@ -60,6 +60,23 @@
     EXPECT_GE(now - 25 - *held, 800); // The validity of a proof.
 }
 
+/// Guards against a promotion beside a primary that other VMs know and use, and the coordinator
+/// does not (issue 37).
+TEST_F(FailoverCoordinator, UnknownPrimaryIsReplacedOnlyAfterProofsHaveExpired) {
+    register_servers(0, {"r1", "r2"});
+    std::optional<std::int64_t> held;
+    std::int64_t now = 0;
+    for (; promotions.empty() && now < 6000; now += 25) {
+        step(now);
+        if (!held && sent("r1", command_kind::hold) && sent("r2", command_kind::hold)) {
+            held = now;
+        }
+    }
+    ASSERT_TRUE(held);
+    ASSERT_EQ(promotions.size(), 1U);
+    EXPECT_GE(now - 25 - *held, 800); // The validity of a proof.
+}
+
 TEST_F(FailoverCoordinator, DoesNothingWhenTheReplicasAreSilentToo) {
     run(0, 500);
     silent = {"p", "r1", "r2"};
