--- a/include/jackdawvane/configuration/configuration_replica.hpp
+++ b/include/jackdawvane/configuration/configuration_replica.hpp
@@ -33,8 +33,9 @@
     duration retry_ceiling{std::chrono::seconds{2}};
     /// Whether a VM without a document reads the store before it knows the delegates.
     bool read_at_start{false};
-    /// Time for one slice; over 10 times the round trip between regions.
-    duration pull_timeout{std::chrono::milliseconds{500}};
+    /// Time for one slice; over 10 times the round trip between regions, and several times what a
+    /// small VM takes to make the text of thousands of rows.
+    duration pull_timeout{std::chrono::seconds{1}};
     /// Time for the entire document, from a VM of an earlier version.
     duration entire_document_timeout{std::chrono::seconds{2}};
     /// Time that a VM waits for the store, or for its failure domain, before it asks another VM.
--- a/include/jackdawvane/node/store.hpp
+++ b/include/jackdawvane/node/store.hpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -18,6 +19,8 @@
 
 namespace jackdawvane {
 
+struct configuration_document;
+
 /// @brief Position in the store's history. A store that comes back from a copy begins a new era,
 /// and its revisions may go back.
 struct store_position {
@@ -182,6 +185,8 @@
     std::uint64_t era{0};
     /// `list_backends`: absent if evacuations are not read or their read failed.
     std::optional<evacuated_domains> evacuations{};
+    /// The configuration, from a store that decodes it; `value` is empty then. Not encoded.
+    std::shared_ptr<const configuration_document> document{};
 
     static constexpr auto fields() {
         return std::tuple{
--- a/src/core/configuration/configuration_replica.cpp
+++ b/src/core/configuration/configuration_replica.cpp
@@ -128,7 +128,8 @@
 }
 
 void configuration_replica::adopt_stored(time_point now, const store_answer& answer, actions& out) {
-    auto parsed = parse_document(answer.value);
+    auto parsed = answer.document ? result<configuration_document>{*answer.document}
+                                  : parse_document(answer.value);
     if (!parsed) {
         log(out, log_component, log_level::error,
             "the document in the store cannot be decoded: " + parsed.error().detail);
