--- a/include/jackdawvane/configuration/configuration_replica.hpp
+++ b/include/jackdawvane/configuration/configuration_replica.hpp
@@ -36,7 +36,7 @@
     /// Time for one slice; over 10 times the round trip between regions, and several times what a
     /// small VM takes to make the text of thousands of rows.
     duration pull_timeout{std::chrono::seconds{1}};
-    /// Time for the entire document, from a VM of an earlier version.
+    /// Time for which a request of a VM shows that its pull needs no answer.
     duration entire_document_timeout{std::chrono::seconds{2}};
     /// Time that a VM waits for the store, or for its failure domain, before it asks another VM.
     duration patience{std::chrono::milliseconds{300}};
--- a/src/core/configuration/configuration_replica.cpp
+++ b/src/core/configuration/configuration_replica.cpp
@@ -245,7 +245,6 @@
     if (!knows_parts_.contains(source)) {
         // A VM of an earlier version drops the request and answers the pull; others know from the
         // request that they need not.
-        pull_at_ = now + settings_.entire_document_timeout;
         send(source, configuration_pull{}, out);
     }
 }
