--- a/src/core/configuration/configuration_replica.cpp
+++ b/src/core/configuration/configuration_replica.cpp
@@ -128,7 +128,8 @@
 }
 
 void configuration_replica::adopt_stored(time_point now, const store_answer& answer, actions& out) {
-    auto parsed = parse_document(answer.value);
+    auto parsed = answer.document ? result<configuration_document>{*answer.document}
+                                  : parse_document(answer.value);
     if (!parsed) {
         log(out, log_component, log_level::error,
             "the document in the store cannot be decoded: " + parsed.error().detail);
@@ -244,7 +245,6 @@
     if (!knows_parts_.contains(source)) {
         // A VM of an earlier version drops the request and answers the pull; others know from the
         // request that they need not.
-        pull_at_ = now + settings_.entire_document_timeout;
         send(source, configuration_pull{}, out);
     }
 }
