--- a/include/jackdawvane/sessions/group_leadership.hpp
+++ b/include/jackdawvane/sessions/group_leadership.hpp
@@ -152,6 +152,7 @@
     /// status request that they answered as replica since; `max()` when there is none.
     std::map<backend_server_id, time_point> joining_;
     bool one_suffices_{false};
+    bool all_needed_{false}; ///< Evidence was withdrawn; the next proof takes all servers.
     time_point confirmed_at_{time_point::min()};
     proof_kind confirmed_by_{proof_kind::none};
     std::optional<primary_proof> proof_;
--- a/src/core/sessions/group_leadership.cpp
+++ b/src/core/sessions/group_leadership.cpp
@@ -82,6 +82,7 @@
     stepped_down_ = false;
     confirmed_at_ = time_point::min();
     confirmed_by_ = proof_kind::none;
+    all_needed_ = false;
     primary_answered_at_ = time_point::min();
     samples_.clear();
     for (auto& [server, own] : evidence_) {
@@ -106,10 +107,11 @@
     evidence_.erase(found);
     if (primary_ == server) {
         primary_answered_at_ = std::min(primary_answered_at_, since);
-        std::erase_if(samples_, [&](const sample& each) { return each.requested_at > since; });
     }
+    std::erase_if(samples_, [&](const sample& each) { return each.requested_at > since; });
     if (confirmed_at_ > since) {
-        confirmed_at_ = since - shortest_promotion;
+        confirmed_at_ = time_point::min();
+        all_needed_ = true;
     }
     update_proof();
 }
@@ -151,7 +153,7 @@
         }
         all_free = own.supports_primary ? std::min(all_free, own.requested_at) : time_point::min();
     }
-    const bool sufficient = newest_sufficient != time_point::min() &&
+    const bool sufficient = !all_needed_ && newest_sufficient != time_point::min() &&
                             (confirmed_at_ == time_point::min() ||
                              newest_sufficient - confirmed_at_ <= shortest_promotion);
     if (sufficient) {
@@ -160,7 +162,9 @@
     const bool all_asked =
         others && all_free != time_point::min() && newest_support - all_free <= shortest_promotion;
     if (all_asked) {
-        confirm(proof_kind::all_asked, std::max(newest_sufficient, all_free));
+        confirm(proof_kind::all_asked,
+                all_needed_ ? all_free : std::max(newest_sufficient, all_free));
+        all_needed_ = false;
         std::erase_if(joining_, [&](const auto& each) {
             return each.second < all_free && all_free - each.second >= joining_time;
         });
--- a/tests/core/group_leadership_test.cpp
+++ b/tests/core/group_leadership_test.cpp
@@ -130,6 +130,25 @@
     EXPECT_EQ(leadership.primary_answered_at(), at(550));
 }
 
+/// Guards against another replica that alone proves the primary after evidence was withdrawn.
+TEST_F(GroupLeadership, OlderEvidenceOfAnotherReplicaDoesNotReplaceWithdrawnEvidence) {
+    confirm_primary(0);
+    leadership.on_status(at(240), at(240), r2, replica_status(1, point(1, 5)));
+    confirm_primary(500);
+    leadership.withdraw(r1, at(250));
+    EXPECT_FALSE(leadership.confirmed(at(510)));
+}
+
+/// Guards against a log position that was sampled under a proof that has been withdrawn.
+TEST_F(GroupLeadership, PositionsUnderAWithdrawnProofAreDropped) {
+    confirm_primary(0);
+    confirm_primary(500);
+    leadership.on_status(at(600), at(600), p, primary_status(1, point(1, 9)));
+    ASSERT_EQ(leadership.point_covering(at(550)), point(1, 9));
+    leadership.withdraw(r1, at(250));
+    EXPECT_EQ(leadership.point_covering(at(550)), std::nullopt);
+}
+
 /// Guards against a replica that registers after a hold and proves the old primary (issue 31).
 TEST_F(GroupLeadership, ReplicaThatRegisteredLatelyProvesNothingAlone) {
     confirm_primary(0);
