--- a/src/core/sessions/failover_coordinator.cpp
+++ b/src/core/sessions/failover_coordinator.cpp
@@ -139,6 +139,12 @@
 
 void failover_coordinator::advance(time_point now, const group_id& group, attempt& current,
                                    proxy_output& out) {
+    const bool holds = current.step == phase::hold || current.step == phase::fence;
+    if (holds && state_.leadership(group).term() >= current.target_term) {
+        // An earlier call has taken effect; the server that leads can't be held.
+        end(now, group, "not needed: a server leads the term", out);
+        return;
+    }
     switch (current.step) {
     case phase::confirm:
         advance_confirm(now, group, current, out);
@@ -157,7 +163,8 @@
         break;
     case phase::promote:
         if (now >= current.step_until) {
-            advance_fence(now, group, current, out);
+            current.step = phase::fence;
+            advance(now, group, current, out);
         }
         break;
     case phase::await_takeover:
--- a/tests/core/failover_hold_test.cpp
+++ b/tests/core/failover_hold_test.cpp
@@ -66,6 +66,24 @@
     EXPECT_EQ(promotions.front().backend, backend_server_id{"p2"}) << "it has the longest log";
 }
 
+/// Guards against an attempt that waits for good to hold the server that its own call has promoted.
+TEST_F(FailoverCoordinator, AttemptEndsWhenItsCallHasTakenEffectWithoutAnAnswer) {
+    run(0, 500);
+    silent = {"p"};
+    std::int64_t now = 500;
+    for (; promotions.empty() && now < 4000; now += 25) {
+        step(now);
+    }
+    ASSERT_EQ(promotions.size(), 1U);
+    status["r1"] = primary_status(2, point(1, 10));
+    status["r2"].held_term = term{2};
+    status["r3"] = replica_status(2, point(1, 9));
+    register_servers(now, {"p", "r1", "r2", "r3"});
+    run(now, now + 3000);
+    EXPECT_FALSE(coordinator.replacement_in_progress());
+    EXPECT_EQ(promotions.size(), 1U);
+}
+
 /// Guards against a replica that registers during a promotion and proves the old primary.
 TEST_F(FailoverCoordinator, ReplicaThatRegistersDuringAPromotionIsHeld) {
     run(0, 500);
