--- a/tests/core/group_leadership_test.cpp
+++ b/tests/core/group_leadership_test.cpp
@@ -149,6 +149,16 @@
     EXPECT_EQ(leadership.point_covering(at(550)), std::nullopt);
 }
 
+/// Guards against a replaced primary that is proved again because its successor left the registry.
+TEST_F(GroupLeadership, ListWithoutTheOthersProvesNothingAfterAGap) {
+    confirm_primary(0);
+    leadership.on_status(at(2500), at(2500), p, primary_status(1, point(1, 5)));
+    ASSERT_FALSE(leadership.confirmed(at(2510)));
+    leadership.set_members({p});
+    leadership.on_status(at(2600), at(2600), p, primary_status(1, point(1, 5)));
+    EXPECT_FALSE(leadership.confirmed(at(2610)));
+}
+
 /// Guards against a replica that registers after a hold and proves the old primary (issue 31).
 TEST_F(GroupLeadership, ReplicaThatRegisteredLatelyProvesNothingAlone) {
     confirm_primary(0);
