--- a/include/jackdawvane/sessions/failover_coordinator.hpp
+++ b/include/jackdawvane/sessions/failover_coordinator.hpp
@@ -54,10 +54,9 @@
 /// register meanwhile are held, too. It then waits until the old primary has stepped down or all
 /// proofs have expired, then promotes the replica with the longest log. A refused connection starts
 /// a replacement, but is no evidence that a server has ended: a cut may refuse it, and open
-/// connections to the server go on. A
-/// replica that is still held after that stays so until no earlier primary can act: held for the
-/// new term, it does not prove the old primary. A leaving primary steps down first and a replica
-/// receives the rest of its log, so no commit is lost.
+/// connections to the server go on. A replica that is still held after that stays so until no
+/// earlier primary can act: held for the new term, it does not prove the old primary. A leaving
+/// primary steps down first and a replica receives the rest of its log, so no commit is lost.
 class failover_coordinator {
   public:
     failover_coordinator(fleet_state& state, group_observer& observer, coordinator_lease& lease,
--- a/src/core/sessions/group_leadership.cpp
+++ b/src/core/sessions/group_leadership.cpp
@@ -128,7 +128,8 @@
 /// asked: the replica may not have heard of a promotion, and another server may lead by now. The
 /// same holds for a replica that a hold may have left out (see `joining_` and `listing`); the proof
 /// is then as old as the oldest evidence, because a promotion may have held the others since. A
-/// server that refuses connections may lead all the same: a cut may refuse them.
+/// server that refuses connections may lead all the same: a cut may refuse them. Without another
+/// server in the list the primary's own answers are proof.
 void group_leadership::update_proof() {
     auto all_free = time_point::max();
     auto newest_support = time_point::min();
