--- a/include/jackdawvane/configuration/configuration_difference.hpp
+++ b/include/jackdawvane/configuration/configuration_difference.hpp
@@ -25,6 +25,10 @@
 /// @brief Names of all rows of @a document.
 [[nodiscard]] std::set<row_name> all_rows(const configuration_document& document);
 
+/// @brief Digest of all rows of @a document.
+/// @complexity Linear in the number of rows.
+[[nodiscard]] content_digest digest_of(const configuration_document& document);
+
 /// @brief Names of the rows that differ between two documents, or that only one of them has.
 /// @complexity Linear in the number of rows; compares values without encoding them.
 [[nodiscard]] std::set<row_name> changed_rows(const configuration_document& before,
--- a/include/jackdawvane/configuration/configuration_transfer.hpp
+++ b/include/jackdawvane/configuration/configuration_transfer.hpp
@@ -60,6 +60,9 @@
     /// @brief Adds @a part, which starts anew when it is of another revision or at offset 0.
     [[nodiscard]] progress add(const configuration_part& part);
 
+    /// @brief Whether the text has all rows of its revision instead of those that changed.
+    [[nodiscard]] bool has_all_rows() const noexcept { return head_.after == revision{}; }
+
     /// @brief Request for the next slice, by a VM with the document @a present.
     [[nodiscard]] configuration_request next(const digested_document& present) const;
 
--- a/src/core/configuration/configuration_difference.cpp
+++ b/src/core/configuration/configuration_difference.cpp
@@ -111,6 +111,20 @@
     return true;
 }
 
+template <class Rows>
+std::uint64_t table_digest(const std::string& table, const Rows& rows) {
+    std::uint64_t sum = 0;
+    std::string bytes;
+    for (const auto& [name, row] : rows) {
+        bytes.clear();
+        append_value(bytes, table);
+        append_value(bytes, name.str());
+        append_value(bytes, row);
+        sum += XXH3_64bits(bytes.data(), bytes.size());
+    }
+    return sum;
+}
+
 /// 0 for a row that is absent, so that the digest of a document is the sum over its rows.
 std::uint64_t row_digest(const configuration_document& document, const row_name& name) {
     std::string bytes;
@@ -135,6 +149,13 @@
     return names;
 }
 
+content_digest digest_of(const configuration_document& document) {
+    return content_digest{table_digest("routes", document.routes) +
+                          table_digest("pools", document.pools) +
+                          table_digest("organisations", document.organisations) +
+                          table_digest("keys", document.keys)};
+}
+
 std::set<row_name> changed_rows(const configuration_document& before,
                                 const configuration_document& after) {
     std::set<row_name> names;
--- a/src/core/configuration/configuration_replica.cpp
+++ b/src/core/configuration/configuration_replica.cpp
@@ -6,6 +6,8 @@
 #include <utility>
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 
 namespace jackdawvane {
 
@@ -20,6 +22,17 @@
 /// with stale reads would be polled without a delay.
 constexpr duration min_watch_hold = std::chrono::seconds{1};
 
+/// How a revision arrives, in logs and metrics.
+constexpr const char* whole_document = "document";
+constexpr const char* all_rows_form = "all_rows";
+constexpr const char* changed_rows_form = "changed_rows";
+
+std::string hexadecimal(std::uint64_t number) {
+    std::array<char, 16> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), number, 16).ptr;
+    return {digits.data(), end};
+}
+
 } // namespace
 
 configuration_replica::configuration_replica(configuration_replica_settings settings,
@@ -137,12 +150,12 @@
         return;
     }
     store_version_ = answer.version;
-    adopt_whole(std::move(parsed).value(), {}, out);
+    adopt_whole(std::move(parsed).value(), {}, whole_document, out);
 }
 
 /// Replaces the current document if the revision of @a document is higher.
 bool configuration_replica::adopt(configuration_document document, std::set<row_name> rows,
-                                  const vm_id& source, actions& out) {
+                                  const vm_id& source, const char* form, actions& out) {
     if (document.revision <= present()) {
         return false;
     }
@@ -152,6 +165,7 @@
     log(out, log_component, log_level::info,
         "revision " + std::to_string(present().value()) + " in force, from " +
             (source.empty() ? "the store" : source.str()) + " rows=" + std::to_string(rows.size()) +
+            " form=" + form + " contents=" + hexadecimal(digest_of(*document_).value()) +
             pulls_.text());
     pulls_ = {};
     history_.add(before->revision, digest_, std::move(rows));
@@ -163,12 +177,12 @@
 }
 
 bool configuration_replica::adopt_whole(configuration_document document, const vm_id& source,
-                                        actions& out) {
+                                        const char* form, actions& out) {
     if (document.revision <= present()) {
         return false;
     }
     auto rows = document_ ? changed_rows(*document_, document) : all_rows(document);
-    return adopt(std::move(document), std::move(rows), source, out);
+    return adopt(std::move(document), std::move(rows), source, form, out);
 }
 
 /// Tells the next VMs of the failure domain. A delegate that read the store also tells the other
@@ -293,8 +307,8 @@
         count(out, "configuration_requests_total", "answer",
               part.busy                     ? "busy"
               : part.revision == revision{} ? "none"
-              : part.after == revision{}    ? "all_rows"
-                                            : "changed_rows");
+              : part.after == revision{}    ? all_rows_form
+                                            : changed_rows_form);
     }
     send(from, std::move(part), out);
 }
@@ -323,19 +337,22 @@
 }
 
 bool configuration_replica::adopt_collected(const vm_id& source, actions& out) {
+    const auto* const form = collected_.has_all_rows() ? all_rows_form : changed_rows_form;
     auto changed = collected_.finish(digested());
     collected_.clear();
     if (!changed) {
         log(out, log_component, log_level::warning,
-            "rows from " + source.str() + " cannot be used: " + changed.error().detail);
+            "rows from " + source.str() + " cannot be used: " + changed.error().detail +
+                " form=" + form);
+        count(out, "configuration_unusable_rows_total", "form", form);
         pull_all_rows_ = true;
         return false;
     }
     auto& [document, rows] = changed.value();
     if (pull_all_rows_ || !document_) {
-        return adopt_whole(std::move(document), source, out);
+        return adopt_whole(std::move(document), source, form, out);
     }
-    return adopt(std::move(document), std::move(rows), source, out);
+    return adopt(std::move(document), std::move(rows), source, form, out);
 }
 
 void configuration_replica::on_pull(time_point now, const vm_id& from,
@@ -355,7 +372,7 @@
 
 void configuration_replica::on_difference(time_point now, const vm_id& from,
                                           const configuration_difference& sent, actions& out) {
-    const bool progress = sent.document && adopt_whole(*sent.document, from, out);
+    const bool progress = sent.document && adopt_whole(*sent.document, from, whole_document, out);
     if (from == source_) {
         finish_pull(now, progress, out);
     }
--- a/src/core/configuration/configuration_transfer.cpp
+++ b/src/core/configuration/configuration_transfer.cpp
@@ -90,7 +90,7 @@
 result<changed_document>
 configuration_part_collector::finish(const digested_document& present) const {
     static const configuration_document empty;
-    const bool whole = head_.after == revision{};
+    const bool whole = has_all_rows();
     if (!whole && head_.after != present.document.revision) {
         return error{error_kind::malformed_request, "rows change another revision", {}};
     }
