--- a/tests/core/configuration_spread_test.cpp
+++ b/tests/core/configuration_spread_test.cpp
@@ -94,6 +94,63 @@
     EXPECT_EQ(fleet.behind(), 0U);
 }
 
+/// Guards against a row that a VM keeps although the revision that it has in force has no such row.
+TEST(ConfigurationSpread, RowRemovedInARevisionThatFollowsASkippedOneIsGoneEverywhere) {
+    spread_fleet fleet{24, 20};
+    const auto in_domain_0 = [](const auto& vm) {
+        return vm->number % spread_fleet::domain_count == 0;
+    };
+    for (const auto& vm : fleet.vms) {
+        vm->reaches_store = vm->receives_messages = !in_domain_0(vm);
+    }
+    fleet.add_routes(1);
+    fleet.write();
+    fleet.run(milliseconds{500});
+    for (const auto& vm : fleet.vms) {
+        vm->reaches_store = in_domain_0(vm);
+        vm->receives_messages = true;
+    }
+    fleet.stored.routes.erase(fleet.stored.routes.begin());
+    fleet.write();
+    fleet.run(milliseconds{5'000});
+    EXPECT_EQ(fleet.behind(), 0U);
+    EXPECT_EQ(fleet.with_other_rows(), 0U);
+}
+
+class RandomChanges : public testing::TestWithParam<unsigned> {};
+
+/// Guards against VMs that have the same revision in force and not the same rows.
+TEST_P(RandomChanges, LeaveTheSameRowsEverywhere) {
+    spread_fleet fleet{24, 20};
+    random_engine random{GetParam()};
+    const auto below = [&](std::size_t bound) {
+        return std::uniform_int_distribution<std::size_t>{0, bound - 1}(random);
+    };
+    for (unsigned round = 0; round < 12; ++round) {
+        for (const auto& vm : fleet.vms) {
+            vm->reaches_store = below(3) != 0;
+            vm->receives_messages = below(6) != 0;
+        }
+        auto& routes = fleet.stored.routes;
+        if (below(2) == 0) {
+            fleet.add_routes(1 + below(3));
+        } else {
+            routes.erase(std::next(routes.begin(), static_cast<long>(below(routes.size()))));
+        }
+        fleet.write();
+        fleet.run(milliseconds{below(500)});
+    }
+    for (const auto& vm : fleet.vms) {
+        vm->reaches_store = vm->receives_messages = true;
+    }
+    fleet.write();
+    fleet.run(milliseconds{5'000});
+    EXPECT_EQ(fleet.behind(), 0U);
+    EXPECT_EQ(fleet.with_other_rows(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(ConfigurationSpread, RandomChanges, testing::Range(1U, 9U));
+
 struct damage {
     const char* name;
     void (*apply)(configuration_part&);
--- a/tests/core/spread_fleet.hpp
+++ b/tests/core/spread_fleet.hpp
@@ -34,6 +34,8 @@
         duration longest_queue{0}; ///< Longest wait of a message for the uplink.
         time_point in_force{no_deadline};
         bool alive{true};
+        bool reaches_store{true};
+        bool receives_messages{true};
         bool earlier_version{false}; ///< Knows only the messages of the earlier version.
         actions out{};
 
@@ -185,7 +187,8 @@
 
     void deliver(const in_flight& sent) {
         auto& to = *vms[sent.to];
-        if (to.alive && !(to.earlier_version && is_unknown_to_earlier(sent.message))) {
+        if (to.alive && to.receives_messages &&
+            !(to.earlier_version && is_unknown_to_earlier(sent.message))) {
             receive(to, sent.from, sent.message);
         }
     }
@@ -207,14 +210,19 @@
 
     void answer_watches() {
         for (const auto& each : std::exchange(watches, {})) {
-            if (version <= each.request.version && now < each.expires) {
+            const bool changed = version > each.request.version && vms[each.vm]->reaches_store;
+            if (!changed && now < each.expires) {
                 watches.push_back(each);
                 continue;
             }
             auto& to = *vms[each.vm];
             if (to.alive) {
                 to.replica.on_store(
-                    now, {each.request.id, store_status::ok, stored_text, version, {}}, to.out);
+                    now,
+                    to.reaches_store
+                        ? store_answer{each.request.id, store_status::ok, stored_text, version, {}}
+                        : store_answer{each.request.id, store_status::unavailable, "", 0, {}},
+                    to.out);
             }
         }
     }
@@ -228,7 +236,7 @@
             }
             auto& to =
                 *vms[(each->number + static_cast<std::size_t>(tick / 200) * 7 + 1) % vms.size()];
-            if (to.alive && each->alive && &to != each.get()) {
+            if (to.alive && to.receives_messages && each->alive && &to != each.get()) {
                 to.replica.on_peer_revision(now, each->entry.vm, each->replica.present(), to.out);
             }
         }
@@ -267,6 +275,13 @@
                 return each->alive && each->replica.present() != stored.revision;
             }));
     }
+    /// Live VMs that have other rows in force than the store.
+    [[nodiscard]] std::size_t with_other_rows() const {
+        return static_cast<std::size_t>(
+            std::count_if(vms.begin(), vms.end(), [&](const auto& each) {
+                return each->alive && !changed_rows(stored, *each->replica.document()).empty();
+            }));
+    }
     [[nodiscard]] std::uint64_t most_sent() const {
         std::uint64_t most = 0;
         for (const auto& each : vms) {
