--- a/include/jackdawvane/configuration/configuration_difference.hpp
+++ b/include/jackdawvane/configuration/configuration_difference.hpp
@@ -26,7 +26,8 @@
 [[nodiscard]] std::set<row_name> all_rows(const configuration_document& document);
 
 /// @brief Digest of all rows of @a document.
-/// @complexity Linear in the number of rows.
+/// @complexity Linear in the number of rows. It is not derived from the digest of another document
+/// and a list of changes, so that it shows a change that is missing in the list.
 [[nodiscard]] content_digest digest_of(const configuration_document& document);
 
 /// @brief Names of the rows that differ between two documents, or that only one of them has.
@@ -34,28 +35,13 @@
 [[nodiscard]] std::set<row_name> changed_rows(const configuration_document& before,
                                               const configuration_document& after);
 
-/// @brief Digest of @a after.
-/// @param digest digest of @a before
-/// @param rows rows that differ between the two documents
-/// @complexity Linear in the number of @a rows.
-[[nodiscard]] content_digest digest_after(content_digest digest,
-                                          const configuration_document& before,
-                                          const configuration_document& after,
-                                          const std::set<row_name>& rows);
-
 /// @brief JSON text of @a rows as they are in @a document; null for a row that it lacks.
 [[nodiscard]] std::string rows_text(const configuration_document& document,
                                     const std::set<row_name>& rows);
 
-/// @brief Rows of a text, and the document with them.
-struct changed_document {
-    configuration_document document;
-    std::set<row_name> rows;
-};
-
 /// @brief Replaces the rows of @a base that @a text lists, and drops the history of edits.
 /// @return the document, or `malformed_request` when a table is unknown or a row cannot be decoded
-[[nodiscard]] result<changed_document> replace_rows(const configuration_document& base,
-                                                    std::string_view text);
+[[nodiscard]] result<configuration_document> replace_rows(const configuration_document& base,
+                                                          std::string_view text);
 
 } // namespace jackdawvane
--- a/include/jackdawvane/configuration/configuration_replica.hpp
+++ b/include/jackdawvane/configuration/configuration_replica.hpp
@@ -108,10 +108,8 @@
     void watch(time_point now, actions& out);
     void watch_failed(time_point now);
     void adopt_stored(time_point now, const store_answer& answer, actions& out);
-    bool adopt(configuration_document document, std::set<row_name> rows, const vm_id& source,
-               const char* form, actions& out);
-    bool adopt_whole(configuration_document document, const vm_id& source, const char* form,
-                     actions& out);
+    bool adopt(configuration_document document, const vm_id& source, const char* form,
+               actions& out);
     bool adopt_collected(const vm_id& source, actions& out);
     void announce(const vm_id& source, actions& out);
     [[nodiscard]] bool watches() const noexcept;
--- a/include/jackdawvane/configuration/configuration_transfer.hpp
+++ b/include/jackdawvane/configuration/configuration_transfer.hpp
@@ -69,7 +69,7 @@
     /// @brief Document that results from the complete text.
     /// @return the document, or `malformed_request` when the text is damaged or its rows do not
     /// have the digest that its sender announced
-    [[nodiscard]] result<changed_document> finish(const digested_document& present) const;
+    [[nodiscard]] result<configuration_document> finish(const digested_document& present) const;
 
     void clear() { *this = {}; }
 
--- a/src/core/configuration/configuration_difference.cpp
+++ b/src/core/configuration/configuration_difference.cpp
@@ -101,16 +101,6 @@
     }
 }
 
-template <class Rows>
-bool append_row(std::string& bytes, const Rows& rows, const std::string& name) {
-    const auto found = rows.find(typename Rows::key_type{name});
-    if (found == rows.end()) {
-        return false;
-    }
-    append_value(bytes, found->second);
-    return true;
-}
-
 template <class Rows>
 std::uint64_t table_digest(const std::string& table, const Rows& rows) {
     std::uint64_t sum = 0;
@@ -125,19 +115,6 @@
     return sum;
 }
 
-/// 0 for a row that is absent, so that the digest of a document is the sum over its rows.
-std::uint64_t row_digest(const configuration_document& document, const row_name& name) {
-    std::string bytes;
-    append_value(bytes, name.first);
-    append_value(bytes, name.second);
-    const bool present = name.first == "routes"  ? append_row(bytes, document.routes, name.second)
-                         : name.first == "pools" ? append_row(bytes, document.pools, name.second)
-                         : name.first == "organisations"
-                             ? append_row(bytes, document.organisations, name.second)
-                             : append_row(bytes, document.keys, name.second);
-    return present ? XXH3_64bits(bytes.data(), bytes.size()) : 0;
-}
-
 } // namespace
 
 std::set<row_name> all_rows(const configuration_document& document) {
@@ -166,15 +143,6 @@
     return names;
 }
 
-content_digest digest_after(content_digest digest, const configuration_document& before,
-                            const configuration_document& after, const std::set<row_name>& rows) {
-    auto sum = digest.value();
-    for (const auto& name : rows) {
-        sum += row_digest(after, name) - row_digest(before, name);
-    }
-    return content_digest{sum};
-}
-
 std::string rows_text(const configuration_document& document, const std::set<row_name>& rows) {
     Json::Value tables{Json::objectValue};
     for (const auto& [table, name] : rows) {
@@ -184,13 +152,14 @@
     return write_json(tables);
 }
 
-result<changed_document> replace_rows(const configuration_document& base, std::string_view text) {
+result<configuration_document> replace_rows(const configuration_document& base,
+                                            std::string_view text) {
     const auto parsed = parse_json(text);
     if (!parsed || !parsed.value().isObject()) {
         return error{error_kind::malformed_request, "rows are not a JSON object", {}};
     }
-    changed_document changed{base, {}};
-    changed.document.recent_edits.clear();
+    auto document = base;
+    document.recent_edits.clear();
     std::vector<problem> problems;
     const auto& tables = parsed.value();
     for (const auto& table : tables.getMemberNames()) {
@@ -199,14 +168,13 @@
             return error{error_kind::malformed_request, "table " + table + " is not an object", {}};
         }
         for (auto row = rows.begin(); row != rows.end(); ++row) {
-            set_row(changed.document, table, row.name(), *row, problems);
-            changed.rows.emplace(table, row.name());
+            set_row(document, table, row.name(), *row, problems);
         }
     }
     if (!problems.empty()) {
         return error{error_kind::malformed_request, problems.front().text(), {}};
     }
-    return changed;
+    return document;
 }
 
 } // namespace jackdawvane
--- a/src/core/configuration/configuration_replica.cpp
+++ b/src/core/configuration/configuration_replica.cpp
@@ -150,41 +150,32 @@
         return;
     }
     store_version_ = answer.version;
-    adopt_whole(std::move(parsed).value(), {}, whole_document, out);
+    adopt(std::move(parsed).value(), {}, whole_document, out);
 }
 
 /// Replaces the current document if the revision of @a document is higher.
-bool configuration_replica::adopt(configuration_document document, std::set<row_name> rows,
-                                  const vm_id& source, const char* form, actions& out) {
+bool configuration_replica::adopt(configuration_document document, const vm_id& source,
+                                  const char* form, actions& out) {
     if (document.revision <= present()) {
         return false;
     }
-    const auto before = document_ ? document_ : std::make_shared<const configuration_document>();
-    const auto digest = digest_after(digest_, *before, document, rows);
+    static const configuration_document none;
+    auto rows = changed_rows(document_ ? *document_ : none, document);
+    const auto row_count = rows.size();
+    history_.add(present(), digest_, std::move(rows));
+    digest_ = digest_of(document);
     document_ = std::make_shared<const configuration_document>(std::move(document));
     log(out, log_component, log_level::info,
         "revision " + std::to_string(present().value()) + " in force, from " +
-            (source.empty() ? "the store" : source.str()) + " rows=" + std::to_string(rows.size()) +
-            " form=" + form + " contents=" + hexadecimal(digest_of(*document_).value()) +
-            pulls_.text());
+            (source.empty() ? "the store" : source.str()) + " rows=" + std::to_string(row_count) +
+            " form=" + form + " contents=" + hexadecimal(digest_.value()) + pulls_.text());
     pulls_ = {};
-    history_.add(before->revision, digest_, std::move(rows));
-    digest_ = digest;
     parts_.on_changed();
     collected_.clear();
     announce(source, out);
     return true;
 }
 
-bool configuration_replica::adopt_whole(configuration_document document, const vm_id& source,
-                                        const char* form, actions& out) {
-    if (document.revision <= present()) {
-        return false;
-    }
-    auto rows = document_ ? changed_rows(*document_, document) : all_rows(document);
-    return adopt(std::move(document), std::move(rows), source, form, out);
-}
-
 /// Tells the next VMs of the failure domain. A delegate that read the store also tells the other
 /// delegates, in case only this VM or this failure domain reaches the store.
 void configuration_replica::announce(const vm_id& source, actions& out) {
@@ -338,21 +329,17 @@
 
 bool configuration_replica::adopt_collected(const vm_id& source, actions& out) {
     const auto* const form = collected_.has_all_rows() ? all_rows_form : changed_rows_form;
-    auto changed = collected_.finish(digested());
+    auto document = collected_.finish(digested());
     collected_.clear();
-    if (!changed) {
+    if (!document) {
         log(out, log_component, log_level::warning,
-            "rows from " + source.str() + " cannot be used: " + changed.error().detail +
+            "rows from " + source.str() + " cannot be used: " + document.error().detail +
                 " form=" + form);
         count(out, "configuration_unusable_rows_total", "form", form);
         pull_all_rows_ = true;
         return false;
     }
-    auto& [document, rows] = changed.value();
-    if (pull_all_rows_ || !document_) {
-        return adopt_whole(std::move(document), source, form, out);
-    }
-    return adopt(std::move(document), std::move(rows), source, form, out);
+    return adopt(std::move(document).value(), source, form, out);
 }
 
 void configuration_replica::on_pull(time_point now, const vm_id& from,
@@ -372,7 +359,7 @@
 
 void configuration_replica::on_difference(time_point now, const vm_id& from,
                                           const configuration_difference& sent, actions& out) {
-    const bool progress = sent.document && adopt_whole(*sent.document, from, whole_document, out);
+    const bool progress = sent.document && adopt(*sent.document, from, whole_document, out);
     if (from == source_) {
         finish_pull(now, progress, out);
     }
--- a/src/core/configuration/configuration_transfer.cpp
+++ b/src/core/configuration/configuration_transfer.cpp
@@ -87,7 +87,7 @@
             static_cast<std::uint32_t>(text_.size())};
 }
 
-result<changed_document>
+result<configuration_document>
 configuration_part_collector::finish(const digested_document& present) const {
     static const configuration_document empty;
     const bool whole = has_all_rows();
@@ -98,19 +98,15 @@
     if (!text) {
         return text.error();
     }
-    const auto& base = whole ? empty : present.document;
-    auto changed = replace_rows(base, text.value());
-    if (!changed) {
-        return changed;
+    auto document = replace_rows(whole ? empty : present.document, text.value());
+    if (!document) {
+        return document;
     }
-    auto& value = changed.value();
-    value.document.revision = head_.revision;
-    const auto digest =
-        digest_after(whole ? content_digest{} : present.digest, base, value.document, value.rows);
-    if (digest != head_.digest) {
+    document.value().revision = head_.revision;
+    if (digest_of(document.value()) != head_.digest) {
         return error{error_kind::malformed_request, "rows do not have the announced digest", {}};
     }
-    return changed;
+    return document;
 }
 
 } // namespace jackdawvane
--- a/tests/core/configuration_spread_test.cpp
+++ b/tests/core/configuration_spread_test.cpp
@@ -164,8 +164,8 @@
     auto changed = old;
     changed.revision = revision{2};
     changed.organisations.begin()->second.rate += 1;
-    const auto old_digest = digest_after({}, {}, old, all_rows(old));
-    const auto digest = digest_after(old_digest, old, changed, changed_rows(old, changed));
+    const auto old_digest = digest_of(old);
+    const auto digest = digest_of(changed);
     configuration_history history;
     history.add(old.revision, old_digest, changed_rows(old, changed));
     configuration_part_server server;
