--- a/include/jackdawvane/configuration/configuration_replica.hpp
+++ b/include/jackdawvane/configuration/configuration_replica.hpp
@@ -113,6 +113,7 @@
     bool adopt_collected(const vm_id& source, actions& out);
     void announce(const vm_id& source, actions& out);
     [[nodiscard]] bool watches() const noexcept;
+    void read_store(const char* reason, actions& out);
     [[nodiscard]] bool behind() const noexcept;
     [[nodiscard]] bool expects_store_answer() const noexcept;
     [[nodiscard]] digested_document digested() const;
@@ -147,6 +148,7 @@
     configuration_sources sources_;
     configuration_part_collector collected_;   ///< Of the pending pull.
     bool pull_all_rows_{false};                ///< The changed rows did not fit to the document.
+    bool reads_store_{false};                  ///< No other VM had rows that this VM can use.
     bool busy_source_{false};                  ///< A source that was tried had no time.
     std::set<vm_id> knows_parts_;              ///< VMs that answered a request.
     std::map<vm_id, time_point> requested_at_; ///< Last request of each VM.
--- a/src/core/configuration/configuration_replica.cpp
+++ b/src/core/configuration/configuration_replica.cpp
@@ -45,7 +45,7 @@
 }
 
 bool configuration_replica::watches() const noexcept {
-    return is_delegate_ || (settings_.read_at_start && !document_);
+    return is_delegate_ || reads_store_ || (settings_.read_at_start && !document_);
 }
 
 bool configuration_replica::behind() const noexcept {
@@ -131,6 +131,9 @@
     } else {
         watch_back_off_ = settings_.retry_floor;
     }
+    if (answered) {
+        reads_store_ = false;
+    }
     if (answered && moved) {
         adopt_stored(now, answer, out);
     }
@@ -170,6 +173,7 @@
             (source.empty() ? "the store" : source.str()) + " rows=" + std::to_string(row_count) +
             " form=" + form + " contents=" + hexadecimal(digest_.value()) + pulls_.text());
     pulls_ = {};
+    reads_store_ = false;
     parts_.on_changed();
     collected_.clear();
     announce(source, out);
@@ -282,6 +286,9 @@
     // Unless a VM was busy, no live VM has the wanted revision; a membership probe reports when one
     // has it again.
     if (!std::exchange(busy_source_, false)) {
+        if (wanted_ > present()) {
+            read_store("no_source", out);
+        }
         wanted_ = present();
     }
     sources_.forget_tried();
@@ -289,6 +296,17 @@
     pull_back_off_ = std::min(2 * pull_back_off_, settings_.retry_ceiling);
 }
 
+/// The store has every revision; it is asked only when other VMs can't help, because each answer is
+/// the whole document.
+void configuration_replica::read_store(const char* reason, actions& out) {
+    if (!std::exchange(reads_store_, true) && !is_delegate_) {
+        log(out, log_component, log_level::info,
+            "reads the store itself wanted=" + std::to_string(wanted_.value()) +
+                " present=" + std::to_string(present().value()) + " reason=" + reason);
+        count(out, "configuration_store_reads_total", "reason", reason);
+    }
+}
+
 void configuration_replica::on_request(time_point now, const vm_id& from,
                                        const configuration_request& request, actions& out) {
     requested_at_[from] = now;
@@ -336,7 +354,9 @@
             "rows from " + source.str() + " cannot be used: " + document.error().detail +
                 " form=" + form);
         count(out, "configuration_unusable_rows_total", "form", form);
-        pull_all_rows_ = true;
+        if (std::exchange(pull_all_rows_, true)) {
+            read_store("unusable_rows", out);
+        }
         return false;
     }
     return adopt(std::move(document).value(), source, form, out);
--- a/tests/core/configuration_spread_test.cpp
+++ b/tests/core/configuration_spread_test.cpp
@@ -117,6 +117,19 @@
     EXPECT_EQ(fleet.with_other_rows(), 0U);
 }
 
+/// Guards against a VM that keeps the old document because no other VM has rows that it can use.
+TEST(ConfigurationSpread, VmThatCannotUseTheRowsOfOthersReadsTheStore) {
+    spread_fleet fleet{24, 20};
+    const auto tested = std::find_if(fleet.vms.begin(), fleet.vms.end(),
+                                     [](const auto& vm) { return !vm->replica.is_delegate(); });
+    ASSERT_NE(tested, fleet.vms.end());
+    (*tested)->other_digests = true;
+    fleet.add_routes(1);
+    fleet.write();
+    fleet.run(half_of_bound);
+    EXPECT_EQ(fleet.behind(), 0U);
+}
+
 class RandomChanges : public testing::TestWithParam<unsigned> {};
 
 /// Guards against VMs that have the same revision in force and not the same rows.
--- a/tests/core/spread_fleet.hpp
+++ b/tests/core/spread_fleet.hpp
@@ -37,6 +37,7 @@
         bool reaches_store{true};
         bool receives_messages{true};
         bool earlier_version{false}; ///< Knows only the messages of the earlier version.
+        bool other_digests{false};   ///< Computes other digests than the other VMs.
         actions out{};
 
         vm(std::size_t index, vm_entry own)
@@ -202,7 +203,11 @@
         } else if (const auto* const r = std::get_if<configuration_request>(&message)) {
             replica.on_request(now, from, *r, to.out);
         } else if (const auto* const part = std::get_if<configuration_part>(&message)) {
-            replica.on_part(now, from, *part, to.out);
+            auto received = *part;
+            if (to.other_digests) {
+                received.digest = content_digest{received.digest.value() + 1};
+            }
+            replica.on_part(now, from, received, to.out);
         } else if (const auto* const d = std::get_if<configuration_difference>(&message)) {
             replica.on_difference(now, from, *d, to.out);
         }
