--- a/tools/soak.py
+++ b/tools/soak.py
@@ -39,6 +39,7 @@
 CALLERS = 24
 REGIONS = {'east-1': 'east', 'east-2': 'east', 'west-1': 'west'}
 VMS = 6               # default of --vms
+SETS_OF_LARGE_FLEETS = {'changing': 18}  # VMs, so that most of them do not watch the store
 FIRST_FAULTS = ('kill_vm', 'kill_herd', 'stop_vm', 'freeze_vm', 'crash_member', 'crash_member',
                 'isolate_member', 'lag_group', 'lose_member_answers', 'leave_member', 'store_down',
                 'store_odd', 'cut', 'cut', 'silence', 'change_configuration', 'reload')
@@ -62,6 +63,8 @@
               'together': ('reset_cut', 'reset_cut', 'double_group_answers',
                            'double_group_answers', 'crash_refusing', 'crash_member', 'kill_vm',
                            'stop_vm', 'cut', 'close_listener')}
+FAULT_SETS['changing'] = ('change_while_turned_away', 'change_while_turned_away',
+                          'change_configuration', 'turn_vms_away', 'stop_vm', 'kill_vm', 'cut')
 # Some callers keep their sessions; a write that was acknowledged beside a cut is judged, too.
 STRICT_SETS = ('listeners', 'refusing', 'flapping', 'together')
 SETS_WITH_STRANGERS = ('doubled', 'full')
@@ -92,7 +95,7 @@
         self.leaves = []        # (backend server, begin, end)
         self.used_members = set()
         self.keys = {name: [f'key-of-{name}', f'spare-key-of-{name}'] for name in organisations()}
-        self.revoked, self.added = [], []
+        self.revoked, self.added, self.removed = [], [], []
         self.document, self.watching = None, True
         self.known_routes = []  # (time, process of a VM, route, whether it is known)
         self.started = time.monotonic()
@@ -215,7 +218,7 @@
                   dict(name='r3', host='stock', type='read_your_writes', service='parts',
                        max_staleness_ms=2500)]
         routes += [dict(name=f'r-{host}', host=host, type='primary', service='parts')
-                   for host in self.added]
+                   for host in self.added if host not in self.removed]
         for route in routes:
             route.update(prefix='/', timeout_ms=2000, target_latency_ms=500, priority=1,
                          max_attempts=2, public=False)
@@ -466,6 +469,22 @@
             await self.store(refused=[])
             self.note('store serves all VMs')
 
+    async def change_while_turned_away(self):
+        """Routes are added and removed while the store serves some VMs, others each time."""
+        for _ in range(self.random.randint(2, 4)):
+            away = asyncio.create_task(self.turn_away(self.vm_count // 2,
+                                                      self.random.uniform(0.5, 2)))
+            for _ in range(self.random.randint(3, 6)):
+                await asyncio.sleep(self.random.uniform(0.02, 0.3))
+                present = [host for host in self.added if host not in self.removed]
+                if present and self.random.random() < 0.5:
+                    self.removed.append(present[0])
+                else:
+                    self.added.append(f'added-{len(self.added)}')
+                await self.configure()
+                self.note(f'configuration {self.version}, {len(self.removed)} routes removed')
+            await away
+
     async def cut(self):
         vm = self.random.choice(self.vms)
         other = self.random.choice(['store', '*', self.random.choice(self.members)['place'],
@@ -591,15 +610,18 @@
                                      for each in caller.statements.values()])))
         self.ended_by_themselves(problems)
         problems += judge(callers, record, state, self.events, organisations(), tail_from,
-                          self.leaves, self.disturbances, self.known_routes, self.strict)
+                          self.leaves, self.disturbances,
+                          [each for each in self.known_routes if each[2] not in self.removed],
+                          self.strict)
         return problems, callers
 
     async def final_configuration(self, vms):
-        """Checks that every VM serves the newest route and refuses the last revoked key."""
+        """Checks that every VM serves each route and refuses each removed one and each revoked key."""
         problems = []
         for address in vms:
-            probes = [(host, self.keys['org-a'][0], True) for host in self.added[-1:]]
-            probes += [('orders', key, False) for key in self.revoked[-1:]]
+            probes = [(host, self.keys['org-a'][0], host not in self.removed)
+                      for host in self.added]
+            probes += [('orders', key, False) for key in self.revoked]
             for host, key, expected in probes:
                 probe = Caller(900, [address], self.callers_address, 'org-a', key, 0)
                 served = await probe.probe(host)
@@ -661,7 +683,7 @@
     parser.add_argument('seeds', nargs='*', metavar='SEED')
     parser.add_argument('--regression', action='store_true')
     parser.add_argument('--jobs', type=int, default=1)
-    parser.add_argument('--vms', type=int, default=VMS)
+    parser.add_argument('--vms', type=int, help=f'default: {VMS}, or {SETS_OF_LARGE_FLEETS}')
     parser.add_argument('--faults', choices=FAULT_SETS, default='all')
     parser.add_argument('--net', type=int, default=30,
                         help='use the addresses 127.NET and up; other soaks need others')
@@ -678,8 +700,9 @@
             child = os.fork()
             seed, faults = runs.pop(0)
             if child == 0:
-                os._exit(min(1, run_seed(seed, f'127.{options.net + free[0]}', options.keep,
-                                         options.vms, faults)))
+                vms = options.vms or SETS_OF_LARGE_FLEETS.get(faults, VMS)
+                os._exit(min(1, run_seed(seed, f'127.{options.net + free[0]}', options.keep, vms,
+                                         faults)))
             running[free[0]] = child
             continue
         ended, status = os.wait()
