--- a/include/jackdawvane/configuration/configuration_transfer.hpp
+++ b/include/jackdawvane/configuration/configuration_transfer.hpp
@@ -4,6 +4,8 @@
 #include "jackdawvane/foundation/time.hpp"
 #include "jackdawvane/node/peer.hpp"
 
+#include <utility>
+
 #include <deque>
 #include <map>
 #include <optional>
@@ -29,7 +31,8 @@
     duration window{std::chrono::seconds{1}};
 };
 
-/// @brief Answers requests for the document in force; each text is made once per revision.
+/// @brief Answers requests for the document in force; each text is made once per revision, by the
+/// VM that read the store, and passed on by the others.
 class configuration_part_server {
   public:
     explicit configuration_part_server(part_limits limits = {}) : limits_{limits} {}
@@ -37,6 +40,10 @@
     /// @brief Discards the texts of the document that was in force before.
     void on_changed() { texts_.clear(); }
 
+    /// @brief Keeps a text that led to the document in force, to pass it on as it is.
+    /// @param after revision whose rows it changes; 0: it has all rows
+    void keep(revision after, std::string text) { texts_[after] = std::move(text); }
+
     /// @brief Answer to @a request from @a vm.
     [[nodiscard]] configuration_part answer(time_point now, const vm_id& vm,
                                             const configuration_request& request,
@@ -71,6 +78,10 @@
     /// have the digest that its sender announced
     [[nodiscard]] result<configuration_document> finish(const digested_document& present) const;
 
+    /// @brief Revision whose rows the text changes; 0: it has all rows.
+    [[nodiscard]] revision base() const noexcept { return head_.after; }
+    [[nodiscard]] const std::string& text() const noexcept { return text_; }
+
     void clear() { *this = {}; }
 
   private:
--- a/src/core/configuration/configuration_replica.cpp
+++ b/src/core/configuration/configuration_replica.cpp
@@ -348,7 +348,7 @@
 bool configuration_replica::adopt_collected(const vm_id& source, actions& out) {
     const auto* const form = collected_.has_all_rows() ? all_rows_form : changed_rows_form;
     auto document = collected_.finish(digested());
-    collected_.clear();
+    const auto collected = std::exchange(collected_, {});
     if (!document) {
         log(out, log_component, log_level::warning,
             "rows from " + source.str() + " cannot be used: " + document.error().detail +
@@ -359,7 +359,11 @@
         }
         return false;
     }
-    return adopt(std::move(document).value(), source, form, out);
+    if (!adopt(std::move(document).value(), source, form, out)) {
+        return false;
+    }
+    parts_.keep(collected.base(), collected.text());
+    return true;
 }
 
 void configuration_replica::on_pull(time_point now, const vm_id& from,
--- a/tests/core/configuration_spread_test.cpp
+++ b/tests/core/configuration_spread_test.cpp
@@ -164,6 +164,30 @@
 
 INSTANTIATE_TEST_SUITE_P(ConfigurationSpread, RandomChanges, testing::Range(1U, 9U));
 
+/// Guards against a VM that makes the text of a large change although it has received it.
+TEST(ConfigurationSpread, ReceivedTextIsPassedOnAsItIs) {
+    auto old = sample_document();
+    auto changed = old;
+    changed.revision = revision{2};
+    changed.organisations.begin()->second.rate += 1;
+    configuration_history history;
+    history.add(old.revision, digest_of(old), changed_rows(old, changed));
+    configuration_part_server server;
+    server.on_changed();
+    server.keep(old.revision, "received text");
+    const digested_document present{changed, digest_of(changed)};
+    const auto answer = [&](const configuration_document& other) {
+        const configuration_request request{other.revision, digest_of(other), {}, 0};
+        return server.answer({}, vm_id{"b"}, request, present, history);
+    };
+    EXPECT_EQ(answer(old).text, "received text");
+    auto unlike = old;
+    unlike.organisations.begin()->second.rate += 2;
+    EXPECT_NE(answer(unlike).text, "received text") << "it changes other rows";
+    server.on_changed();
+    EXPECT_NE(answer(old).text, "received text") << "it leads to an earlier revision";
+}
+
 struct damage {
     const char* name;
     void (*apply)(configuration_part&);
