--- a/src/core/configuration/configuration_replica.cpp
+++ b/src/core/configuration/configuration_replica.cpp
@@ -296,8 +296,8 @@
     pull_back_off_ = std::min(2 * pull_back_off_, settings_.retry_ceiling);
 }
 
-/// The store has every revision; it is asked only when other VMs can't help, because each answer is
-/// the whole document.
+/// The store always has the newest revision; it is asked only when other VMs can't help, because
+/// its answer is the whole document.
 void configuration_replica::read_store(const char* reason, actions& out) {
     if (!std::exchange(reads_store_, true) && !is_delegate_) {
         log(out, log_component, log_level::info,
