Play slow and failing servers together in the soak (MIXED)

No set of the soak played a slow and a failing server together.

Change: the stand-in's servers can be slow and can fail a share of their statements. The set `slow` does both to one group, with callers that try again at once and callers that give up and open another session, beside servers that answer twice, killed and stopped VMs and cuts. Passive health checks are off in it, as they take a failing server out before a read is sent to it as well.

--- a/src/standins/jackdawvane-site/member_server.cpp
+++ b/src/standins/jackdawvane-site/member_server.cpp
@@ -228,7 +228,7 @@
     // BEGIN and STATUS occupy a slot for 1 ms only.
     const auto time = request.verb == "STATUS" || request.verb == "BEGIN"
                           ? milliseconds{1}
-                          : limits_.statement_duration;
+                          : limits_.statement_duration + member().extra_work;
     if (uses_slot && !co_await occupy_slot(client, time)) {
         co_return false;
     }
@@ -292,8 +292,12 @@
     const auto state_before = client.state;
     const auto transaction = client.transaction;
     std::string shape;
+    const bool fails = member().fail_share > 0 && request.verb != "COMMIT" &&
+                       !is_own_command(request.verb) && happens(member().fail_share);
     if (found == handlers.end()) {
         result.error = "MALFORMED";
+    } else if (fails) {
+        result.error = "FAILED";
     } else if (auto refused = refusal(client, request); !refused.empty()) {
         result.error = std::move(refused);
     } else {
--- a/src/standins/jackdawvane-site/session_group.hpp
+++ b/src/standins/jackdawvane-site/session_group.hpp
@@ -55,6 +55,8 @@
     std::optional<steady_clock::time_point> successor_seen_at;
     std::uint32_t lose_answers{0}; ///< Number of next answers to drop after the statement has run.
     repeated_answers repeated;
+    milliseconds extra_work{0}; ///< Added to the time of each statement of a caller.
+    double fail_share{0};       ///< Of the reads and writes, which then have no effect.
     std::uint32_t busy{0};
     std::uint32_t connections{0};
 
--- a/src/standins/jackdawvane-site/site_server.cpp
+++ b/src/standins/jackdawvane-site/site_server.cpp
@@ -227,6 +227,9 @@
         repeated.cut_share = fault.double_cuts.value_or(repeated.cut_share);
         repeated.max_delay =
             fault.double_delay_ms ? milliseconds{*fault.double_delay_ms} : repeated.max_delay;
+        member.extra_work =
+            fault.extra_work_ms ? milliseconds{*fault.extra_work_ms} : member.extra_work;
+        member.fail_share = fault.fail_share.value_or(member.fail_share);
         if (fault.silence) {
             each.server->silence();
         }
--- a/src/standins/jackdawvane-site/site_server.hpp
+++ b/src/standins/jackdawvane-site/site_server.hpp
@@ -67,6 +67,8 @@
     std::optional<std::uint32_t> lose_answers;
     std::optional<double> double_answers;         ///< Share of the answers that are sent twice.
     std::optional<double> double_cuts;            ///< Share of the second answers cut off.
+    std::optional<std::int64_t> extra_work_ms;    ///< Added to the time of each statement.
+    std::optional<double> fail_share;             ///< Share of the reads and writes that fail.
     std::optional<std::uint32_t> double_delay_ms; ///< Longest delay of a second answer.
     bool silence{false};                          ///< Stops answering on the open connections.
 
@@ -79,6 +81,8 @@
                           field("lose_answers", &member_fault::lose_answers),
                           field("double_answers", &member_fault::double_answers),
                           field("double_cuts", &member_fault::double_cuts),
+                          field("extra_work_ms", &member_fault::extra_work_ms),
+                          field("fail_share", &member_fault::fail_share),
                           field("double_delay_ms", &member_fault::double_delay_ms),
                           field("silence", &member_fault::silence)};
     }
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -4,7 +4,7 @@
 Each seed starts the stand-in for the platform, the network relay and six VMs, runs callers with
 SQL sessions, and injects faults in series and overlapping: VMs are killed, stopped, paused and
 restarted; connections are delayed, cut, reset and silenced; backend servers crash, stop answering,
-lag, lose answers, answer twice, refuse connections, are isolated and leave; the store is down or slow, loses answers,
+lag, turn slow, fail, lose answers, answer twice, refuse connections, are isolated and leave; the store is down or slow, loses answers,
 forgets its history, refuses VMs and comes back from a copy; the configuration changes. Afterwards the checker compares the answers that
 callers received with the statements that backend servers ran.
 
@@ -27,9 +27,10 @@
 import tempfile
 import time
 
-from soak_callers import Caller, Keeper, Stranger
+from soak_callers import Caller, Impatient, Keeper, Persistent, Stranger
 from soak_judge import judge
 from soak_refusals import RefusalFaults
+from soak_slowness import SlownessFaults
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 LOAD_S = 18          # faults are injected within this time
@@ -63,11 +64,18 @@
               'together': ('reset_cut', 'reset_cut', 'double_group_answers',
                            'double_group_answers', 'crash_refusing', 'crash_member', 'kill_vm',
                            'stop_vm', 'cut', 'close_listener')}
+# Reads are sent twice; the answers of one attempt come late, twice or not at all.
+FAULT_SETS['slow'] = ('slow_and_failing',) * 6 + ('double_member_answers', 'kill_vm', 'stop_vm',
+                                                  'cut', 'lose_member_answers')
 FAULT_SETS['changing'] = ('change_while_turned_away', 'change_while_turned_away',
                           'change_configuration', 'turn_vms_away', 'stop_vm', 'kill_vm', 'cut')
 # Some callers keep their sessions; a write that was acknowledged beside a cut is judged, too.
 STRICT_SETS = ('listeners', 'refusing', 'flapping', 'together')
 SETS_WITH_STRANGERS = ('doubled', 'full')
+SETS_WITH_IMPATIENT_CALLERS = ('slow',)
+CONTRACTS = ('pressure', 'health')
+# Passive health checks would take a failing server out before a read is also sent to it.
+SETS_WITHOUT_CONTRACTS = ('slow',)
 HOLDER_KEY = 'jackdawvane/duty/promotion'  # of the VM with the coordinator lease
 STRANGERS = 2
 GROUPS = ('ledger', 'parts')
@@ -81,15 +89,17 @@
             'org-hot': dict(rate_per_s=8, burst=8)}
 
 
-class Soak(RefusalFaults):
+class Soak(RefusalFaults, SlownessFaults):
     """Processes, faults and callers of one seed."""
     GROUPS, HOLDER_KEY = GROUPS, HOLDER_KEY
 
-    def __init__(self, seed, net, folder, vms, faults, strangers, strict=False):
+    def __init__(self, seed, net, folder, vms, faults, strangers=0, strict=False, impatient=False,
+                 contracts=CONTRACTS):
         self.random = random.Random(seed)
         self.net, self.folder, self.vm_count, self.faults = net, pathlib.Path(folder), vms, faults
         self.processes, self.events, self.version = {}, [], 0
         self.strangers, self.strict = strangers, strict
+        self.impatient, self.contracts = impatient, contracts
         self.refusals, self.cut_groups = collections.Counter(), set()
         self.disturbances = []  # [net of the VM or None for all, begin, end]
         self.leaves = []        # (backend server, begin, end)
@@ -155,7 +165,7 @@
                     session_listen=f'{address}:{SESSION_PORT}', ready_listen=f'{address}:{READY_PORT}',
                     peer_port=PEER_PORT, metrics_port=METRICS_PORT,
                     advertised_peer=f'{vm["net"]}.101:{PEER_PORT}',
-                    peer_secret='loopback-soak-secret', contracts=['pressure', 'health'],
+                    peer_secret='loopback-soak-secret', contracts=self.contracts,
                     store=f'{self.site[:-1]}101:{STORE_PORT}',
                     promotion=f'{self.site[:-1]}101:{PROMOTION_PORT}', descriptors=1024, grace_s=6,
                     log=dict(level='info', output='stdout', lines_per_second=200))
@@ -543,7 +553,8 @@
         await self.store(down_ms=0, delay_ms=0, lose_answers=0, refused=[])
         for member in self.members:
             await self.member(member['name'], state='running', leaving=False, isolated=False,
-                              lag_ms=8, lose_answers=0, double_answers=0)
+                              lag_ms=8, lose_answers=0, double_answers=0, extra_work_ms=0,
+                              fail_share=0)
         for vm in self.vms:
             self.signal(vm['name'], signal.SIGCONT)
         self.restart_ended()
@@ -587,6 +598,8 @@
         for number in range(CALLERS):
             organisation = 'org-hot' if number % 6 == 0 else ('org-a', 'org-b')[number % 2]
             kind = Keeper if self.strict and number % 2 else Caller
+            if self.impatient:
+                kind = Persistent if number % 4 else Impatient
             callers.append(kind(number, vms, self.callers_address, organisation,
                                 self.keys[organisation][0], self.random.random()))
         callers += [Stranger(CALLERS + number, vms, self.callers_address, 'org-a',
@@ -638,7 +651,9 @@
 def run_seed(seed, net, keep, vms, faults):
     with tempfile.TemporaryDirectory(prefix='jackdawvane-soak-') as folder:
         soak = Soak(seed, net, folder, vms, FAULT_SETS[faults],
-                    STRANGERS if faults in SETS_WITH_STRANGERS else 0, faults in STRICT_SETS)
+                    strangers=STRANGERS if faults in SETS_WITH_STRANGERS else 0,
+                    strict=faults in STRICT_SETS, impatient=faults in SETS_WITH_IMPATIENT_CALLERS,
+                    contracts=() if faults in SETS_WITHOUT_CONTRACTS else CONTRACTS)
         callers = []
         try:
             problems, callers = asyncio.run(soak.run())
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -15,6 +15,7 @@
 
 class Caller:
     """A caller that holds one session at a time, on a randomly chosen VM."""
+    statement_s = STATEMENT_S
 
     def __init__(self, number, vms, address, organisation, key, seed):
         self.number, self.vms, self.address = number, vms, address
@@ -34,7 +35,7 @@
                 await self.open(self.random.choice(ROUTES))
                 while not self.stopping and self.stays():
                     await self.operate()
-                    await asyncio.sleep(self.random.uniform(*PAUSE_S))
+                    await asyncio.sleep(self.pause())
             except (Ended, OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
                 await asyncio.sleep(self.random.uniform(0.05, 0.4))
             finally:
@@ -44,6 +45,10 @@
         """Whether the session goes on with another operation."""
         return self.random.random() > 0.1
 
+    def pause(self):
+        """Seconds until the next operation."""
+        return self.random.uniform(*PAUSE_S)
+
     async def probe(self, route):
         """Whether a read on a new session of `route` succeeds."""
         try:
@@ -95,7 +100,7 @@
         self.statements[name] = sent
         self.writer.write(f'QUERY {name} {text}\r\n'.encode('latin-1'))
         while True:
-            line = await asyncio.wait_for(self.reader.readline(), STATEMENT_S)
+            line = await asyncio.wait_for(self.reader.readline(), self.statement_s)
             if not line.endswith(b'\r\n'):
                 raise Ended('closed')
             word, _, rest = line[:-2].decode('latin-1').partition(' ')
@@ -185,6 +190,18 @@
         return True
 
 
+class Persistent(Keeper):
+    """A caller that tries again at once after an operation that has failed."""
+
+    def pause(self):
+        return 0 if self.operations[-1]['error'] == 'FAILED' else super().pause()
+
+
+class Impatient(Caller):
+    """A caller that gives up a slow statement, closes its session and opens another one."""
+    statement_s = 0.8
+
+
 class Stranger(Caller):
     """A caller that sends lines which the protocol allows, but no other caller sends."""
 
