End attempts whose lease is given up at the entry VM

What callers saw: reads avoided a server that had once been slow or cut off, for the rest of the VM's life; by reading, not from a record.

A discarded lease has no result any more, and neither has one that was released before its owner was lost, but the attempt stayed in the forwarder's table and counted as running at its server. The choice of servers adds such attempts to the queue there, and the age of the evidence of its load stayed 0.

Change: an attempt ends with its discarded lease and with its owner, whether or not its lease is still held. A result also counts only for the server that its attempt was sent to.

Evidence: AbandonedAttempt (2 tests) fails with each of the mutations `discarded-attempt` and `attempt-of-lost-owner`, which are the code before; AttemptResult/other_server is new.

--- a/include/jackdawvane/sessions/statement_forwarder.hpp
+++ b/include/jackdawvane/sessions/statement_forwarder.hpp
@@ -46,7 +46,8 @@
     void send(time_point now, forwarded_statement statement, proxy_output& out);
     /// @brief Releases a lease; rolls back an open transaction first.
     void release(time_point now, connection_id lease, bool in_transaction, proxy_output& out);
-    /// @brief Releases a lease and closes its connection, as its session state is unknown.
+    /// @brief Releases a lease and closes its connection, as its session state is unknown. The
+    /// attempts that were sent with it end without a result.
     void discard(time_point now, connection_id lease, proxy_output& out);
 
     /// @brief Handles the result of an attempt.
@@ -78,7 +79,9 @@
         connection_id lease;
         time_point sent{};
         vm_id owner; ///< VM that it was sent to.
+        backend_server_id backend;
     };
+    using attempt_table = std::map<attempt_id, sent_attempt>;
     struct held_lease {
         vm_id owner;
         backend_server_id backend;
@@ -108,14 +111,16 @@
     void accept_result(time_point now, const attempt_result& result);
     void keep_load(time_point now, const attempt_result& result);
     void note_outcome(time_point now, time_point sent, const attempt_result& result);
-    void end_attempt(time_point now, const attempt_result& result, bool measure);
+    void measure(time_point now, const sent_attempt& answered);
+    /// Removes an attempt from the load of its server.
+    attempt_table::iterator end_attempt(attempt_table::iterator attempt);
 
     fleet_state& state_;
     connection_owner& owner_;
     forwarder_settings settings_;
     id_sequence<connection_id>& ids_;
     std::map<connection_id, held_lease> leases_;
-    std::map<attempt_id, sent_attempt> attempts_;
+    attempt_table attempts_; ///< Those that may still have a result.
     std::map<backend_server_id, backend_load> loads_;
     std::map<std::pair<vm_id, backend_server_id>, time_point> unreachable_;
     std::vector<attempt_result> results_;
--- a/src/core/sessions/statement_forwarder.cpp
+++ b/src/core/sessions/statement_forwarder.cpp
@@ -95,7 +95,8 @@
 void statement_forwarder::send(time_point now, forwarded_statement statement, proxy_output& out) {
     const auto found = leases_.find(statement.lease);
     attempts_[statement.attempt] = {statement.lease, now,
-                                    found == leases_.end() ? vm_id{} : found->second.owner};
+                                    found == leases_.end() ? vm_id{} : found->second.owner,
+                                    statement.backend};
     ++loads_[statement.backend].running;
     ++loads_[statement.backend].sent_since;
     if (found == leases_.end()) {
@@ -156,35 +157,38 @@
     if (found != leases_.end()) {
         const auto held = found->second;
         leases_.erase(found);
+        for (auto it = attempts_.begin(); it != attempts_.end();) {
+            it = it->second.lease == lease ? end_attempt(it) : std::next(it);
+        }
         send_release(now, {lease, held.backend, false, true}, held.owner, out);
     }
 }
 
-void statement_forwarder::end_attempt(time_point now, const attempt_result& result, bool measure) {
-    const auto found = attempts_.find(result.attempt);
-    if (found == attempts_.end()) {
-        return;
-    }
-    auto& load = loads_[result.backend];
+void statement_forwarder::measure(time_point now, const sent_attempt& answered) {
+    auto& load = loads_[answered.backend];
+    const auto elapsed = now - answered.sent;
+    const bool first =
+        load.measured == time_point::min() || now - load.measured > settings_.latency_ttl;
+    load.mean = first ? elapsed : load.mean + (elapsed - load.mean) / settings_.latency_divisor;
+    load.measured = now;
+}
+
+statement_forwarder::attempt_table::iterator
+statement_forwarder::end_attempt(attempt_table::iterator attempt) {
+    const auto& ended = attempt->second;
+    auto& load = loads_[ended.backend];
     load.running -= std::min(load.running, 1U);
-    if (found->second.sent >= load.reported_at) {
+    if (ended.sent >= load.reported_at) {
         load.sent_since -= std::min(load.sent_since, 1U);
     }
-    if (measure) {
-        const auto elapsed = now - found->second.sent;
-        const bool first =
-            load.measured == time_point::min() || now - load.measured > settings_.latency_ttl;
-        load.mean = first ? elapsed : load.mean + (elapsed - load.mean) / settings_.latency_divisor;
-        load.measured = now;
-    }
-    attempts_.erase(found);
+    return attempts_.erase(attempt);
 }
 
 bool statement_forwarder::on_result(time_point now, const vm_id& from,
                                     const attempt_result& result) {
     const auto sent = attempts_.find(result.attempt);
     if (sent == attempts_.end() || sent->second.owner != from ||
-        sent->second.lease != result.lease) {
+        sent->second.lease != result.lease || sent->second.backend != result.backend) {
         return false;
     }
     accept_result(now, result);
@@ -192,7 +196,8 @@
 }
 
 void statement_forwarder::accept_result(time_point now, const attempt_result& result) {
-    const auto sent_at = attempts_.at(result.attempt).sent;
+    const auto attempt = attempts_.find(result.attempt);
+    const auto sent_at = attempt->second.sent;
     const auto lease = leases_.find(result.lease);
     if (result.unreachable && lease != leases_.end()) {
         unreachable_[{lease->second.owner, result.backend}] = now;
@@ -210,7 +215,10 @@
                 .on_position(sent_at, result.backend, *result.reply.position);
         }
     }
-    end_attempt(now, result, result.answered && result.sent);
+    if (result.answered && result.sent) {
+        measure(now, attempt->second);
+    }
+    end_attempt(attempt);
     keep_load(now, result);
     note_outcome(now, sent_at, result);
     if (!result.answered) {
@@ -243,22 +251,21 @@
 }
 
 void statement_forwarder::on_vm_lost(const vm_id& vm) {
-    std::vector<attempt_result> lost;
-    for (const auto& [attempt, sent] : attempts_) {
-        const auto found = leases_.find(sent.lease);
-        if (found != leases_.end() && found->second.owner == vm) {
-            attempt_result result;
-            result.attempt = attempt;
-            result.lease = sent.lease;
-            result.backend = found->second.backend;
-            result.sent = true;
-            lost.push_back(std::move(result));
+    for (auto it = attempts_.begin(); it != attempts_.end();) {
+        const auto& [attempt, sent] = *it;
+        if (sent.owner != vm) {
+            ++it;
+            continue;
         }
-    }
-    for (const auto& result : lost) {
-        end_attempt({}, result, false);
-        leases_.erase(result.lease);
-        results_.push_back(result);
+        if (leases_.contains(sent.lease)) { // Else the statement has ended and awaits no result.
+            attempt_result lost;
+            lost.attempt = attempt;
+            lost.lease = sent.lease;
+            lost.backend = sent.backend;
+            lost.sent = true;
+            results_.push_back(std::move(lost));
+        }
+        it = end_attempt(it);
     }
     std::erase_if(leases_, [&](const auto& each) { return each.second.owner == vm; });
 }
--- a/tests/core/statement_forwarder_test.cpp
+++ b/tests/core/statement_forwarder_test.cpp
@@ -14,13 +14,14 @@
     const char* from;
     std::uint64_t attempt;
     std::uint64_t lease_offset; ///< Added to the lease of the attempt.
+    const char* backend;
     bool accepted;
 };
 
 class AttemptResult : public ::testing::TestWithParam<result_case> {};
 
 /// Guards against a result that is taken for that of another attempt: it counts only from the VM
-/// that the attempt was sent to, and for the lease that it was sent with.
+/// that the attempt was sent to, and for the lease and the server that it was sent with.
 TEST_P(AttemptResult, CountsOnlyFromTheOwnerOfItsLease) {
     session_fixture fixture;
     fixture.state.live = {vm("a", "d2"), vm("b"), vm("c", "d2")}; // b is next to the server.
@@ -36,7 +37,7 @@
     attempt_result result;
     result.attempt = attempt_id{GetParam().attempt};
     result.lease = connection_id{lease->value() + GetParam().lease_offset};
-    result.backend = statement.backend;
+    result.backend = backend_server_id{GetParam().backend};
     result.answered = true;
     EXPECT_EQ(fixture.forwarder.on_result(at(2), vm_id{GetParam().from}, result),
               GetParam().accepted);
@@ -44,11 +45,12 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(StatementForwarder, AttemptResult,
-                         ::testing::Values(result_case{"owner", "b", 5, 0, true},
-                                           result_case{"other_vm", "c", 5, 0, false},
-                                           result_case{"this_vm", "a", 5, 0, false},
-                                           result_case{"other_attempt", "b", 6, 0, false},
-                                           result_case{"other_lease", "b", 5, 1, false}),
+                         ::testing::Values(result_case{"owner", "b", 5, 0, "p", true},
+                                           result_case{"other_vm", "c", 5, 0, "p", false},
+                                           result_case{"this_vm", "a", 5, 0, "p", false},
+                                           result_case{"other_attempt", "b", 6, 0, "p", false},
+                                           result_case{"other_lease", "b", 5, 1, "p", false},
+                                           result_case{"other_server", "b", 5, 0, "r1", false}),
                          [](const auto& tested) { return std::string{tested.param.name}; });
 
 /// Sends statements to server p, whose owner is the VM b, and answers them.
@@ -103,6 +105,45 @@
     EXPECT_FALSE(fixture.forwarder.report(at(20'000), server));
 }
 
+struct abandoned_case {
+    const char* name;
+    void (*abandon)(session_fixture& fixture, connection_id lease);
+};
+
+class AbandonedAttempt : public ForwarderLoad,
+                         public ::testing::WithParamInterface<abandoned_case> {};
+
+/// Guards against an attempt that outlives its statement: it counted as load of its server for
+/// good, so reads avoided a server that had once been slow.
+TEST_P(AbandonedAttempt, IsNoLoadOfItsServer) {
+    send(1, 1);
+    ASSERT_EQ(fixture.forwarder.running(server), 1U);
+    GetParam().abandon(fixture, leases.at(1));
+    EXPECT_EQ(fixture.forwarder.running(server), 0U);
+    EXPECT_EQ(fixture.forwarder.evidence_age(at(3), server), duration::max());
+    EXPECT_TRUE(fixture.forwarder.take_results().empty());
+    attempt_result late;
+    late.attempt = attempt_id{1};
+    late.lease = leases.at(1);
+    late.backend = server;
+    late.answered = true;
+    EXPECT_FALSE(fixture.forwarder.on_result(at(4), vm_id{"b"}, late));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    StatementForwarder, AbandonedAttempt,
+    ::testing::Values(abandoned_case{"discarded",
+                                     [](session_fixture& fixture, connection_id lease) {
+                                         fixture.forwarder.discard(at(3), lease, fixture.out);
+                                     }},
+                      abandoned_case{"released_before_its_owner_is_lost",
+                                     [](session_fixture& fixture, connection_id lease) {
+                                         fixture.forwarder.release(at(3), lease, false,
+                                                                   fixture.out);
+                                         fixture.forwarder.on_vm_lost(vm_id{"b"});
+                                     }}),
+    [](const auto& tested) { return std::string{tested.param.name}; });
+
 struct outcome_case {
     const char* name;
     bool answered;
