Forget the statements of released and lost leases at their owner

A release that found no lease yet left the statement in the owner's queue, so it ran later, and the lease that it then bound kept its connection for 8 s. Queued statements of a VM that counts as lost ran as well, though that VM may have sent them elsewhere. A discarded connection left its statement in the owner's table for good.

Change: a release removes the queued statement of its lease, and the entry VM is told that the attempt ended without being sent; a lost VM's queued statements are removed; a discarded connection's statements leave the table, whose size is shown as `owned_statements` in the status.

--- a/include/jackdawvane/limits/fair_queue.hpp
+++ b/include/jackdawvane/limits/fair_queue.hpp
@@ -107,6 +107,16 @@
         return found == index_.end() ? std::nullopt : std::optional{extract(found->second)};
     }
 
+    /// @brief Removes an entry whose item @a matches, for example one of a caller that has gone.
+    /// @complexity O(n)
+    template <class Predicate>
+    [[nodiscard]] std::optional<entry> remove_matching(Predicate matches) {
+        const auto found = std::find_if(index_.begin(), index_.end(), [&](const auto& each) {
+            return matches(each.second->value.item);
+        });
+        return found == index_.end() ? std::nullopt : std::optional{extract(found->second)};
+    }
+
     /// @brief Earliest deadline of a queued entry; `time_point::min()` while `expire` has entries
     /// ready.
     [[nodiscard]] time_point next_deadline() const noexcept {
--- a/include/jackdawvane/sessions/connection_owner.hpp
+++ b/include/jackdawvane/sessions/connection_owner.hpp
@@ -44,13 +44,15 @@
 
     void submit(time_point now, const vm_id& entry, forwarded_statement statement,
                 proxy_output& out);
+    /// @brief Releases a lease. A statement of it that is still queued is not run.
     void release(time_point now, const vm_id& entry, const lease_release& release,
                  proxy_output& out);
     /// @brief Refuses statements for a short time after a pause of this VM. Those that arrive now
     /// may have been in the network buffers during the pause, and their entry VMs have given them
     /// up or retried them elsewhere.
     void paused(time_point now);
-    /// @brief Releases all leases of a VM that is gone and closes their connections.
+    /// @brief Releases all leases of a VM that is gone, closes their connections and removes its
+    /// statements from the queues.
     void forget(const vm_id& entry, proxy_output& out);
     /// @brief Collects the results of the connections and starts queued statements.
     void settle(time_point now, proxy_output& out);
@@ -59,6 +61,8 @@
     [[nodiscard]] std::vector<owner_result> take_results();
     /// @brief Whether statements of any VM are queued or running here.
     [[nodiscard]] bool busy() const;
+    /// @brief Statements that were sent to backend servers and may still be answered.
+    [[nodiscard]] std::size_t statements_running() const noexcept { return running_.size(); }
 
   private:
     struct lease_key {
@@ -93,6 +97,10 @@
     /// Returns @a next as not run, because the domain of its server is evacuated.
     void refuse_evacuated(time_point now, const queued& next, proxy_output& out);
     void report_not_run(const queued& entry, statement_error problem);
+    /// Removes the statement of a released lease from the queue that it waits in, if any.
+    void withdraw(const vm_id& entry, const lease_release& release);
+    /// Closes the connection of a lease. Its statements are not answered any more.
+    void discard(const lease_key& key, connection_id connection, proxy_output& out);
     void report(const vm_id& entry, attempt_result result);
     void measure(const backend_server_id& backend, duration service_time);
     [[nodiscard]] std::optional<server_load> due_load(const vm_id& entry,
--- a/src/core/sessions/connection_owner.cpp
+++ b/src/core/sessions/connection_owner.cpp
@@ -183,6 +183,7 @@
                                proxy_output& out) {
     const auto bound = leases_.find({entry, release.lease});
     if (bound == leases_.end()) {
+        withdraw(entry, release);
         return;
     }
     const auto connection = bound->second.connection;
@@ -190,12 +191,34 @@
     const bool evacuated = state_.evacuation_blocks(now, bound->second.backend);
     leases_.erase(bound);
     if (release.discard || evacuated) {
-        backends_.discard(connection, out);
+        discard({entry, release.lease}, connection, out);
     } else {
         backends_.release(now, connection, release.in_transaction, out);
     }
 }
 
+void connection_owner::withdraw(const vm_id& entry, const lease_release& release) {
+    const auto queue = queues_.find(release.backend);
+    if (queue == queues_.end()) {
+        return;
+    }
+    const auto removed = queue->second.remove_matching([&](const queued& each) {
+        return each.entry == entry && each.statement.lease == release.lease;
+    });
+    if (removed && !release.discard) { // The entry VM still counts the attempt.
+        attempt_result withdrawn;
+        withdrawn.attempt = removed->item.statement.attempt;
+        withdrawn.lease = release.lease;
+        withdrawn.backend = release.backend;
+        report(entry, std::move(withdrawn));
+    }
+}
+
+void connection_owner::discard(const lease_key& key, connection_id connection, proxy_output& out) {
+    std::erase_if(running_, [&](const auto& each) { return each.second.key == key; });
+    backends_.discard(connection, out);
+}
+
 void connection_owner::paused(time_point now) {
     backlog_until_ = now + backlog_time;
 }
@@ -204,12 +227,17 @@
     reporter_.forget(entry);
     for (auto it = leases_.begin(); it != leases_.end();) {
         if (it->first.entry == entry) {
-            backends_.discard(it->second.connection, out);
+            discard(it->first, it->second.connection, out);
             it = leases_.erase(it);
         } else {
             ++it;
         }
     }
+    for (auto& [backend, queue] : queues_) {
+        while (queue.remove_matching([&](const queued& each) { return each.entry == entry; })) {
+            // It may be retried elsewhere, so no statement of a VM that is gone is run.
+        }
+    }
 }
 
 void connection_owner::settle(time_point now, proxy_output& out) {
@@ -244,7 +272,7 @@
             log(out.common, "owner", log_level::warning,
                 "lease expired entry=" + it->first.entry.str() +
                     " backend=" + it->second.backend.str());
-            backends_.discard(it->second.connection, out);
+            discard(it->first, it->second.connection, out);
             it = leases_.erase(it);
         } else {
             ++it;
--- a/src/core/sessions/session_proxy.cpp
+++ b/src/core/sessions/session_proxy.cpp
@@ -295,6 +295,7 @@
     json["revision"] = to_json(applied_revision_);
     json["sessions"] = static_cast<Json::UInt64>(executor_.sessions());
     json["waiting"] = static_cast<Json::UInt64>(executor_.waiting());
+    json["owned_statements"] = static_cast<Json::UInt64>(owner_.statements_running());
     json["backend_connections"] = static_cast<Json::UInt64>(backends_.size());
     json["limits"] = limiter_.describe();
     for (const auto& vm : state_.live) {
--- a/tests/core/connection_owner_test.cpp
+++ b/tests/core/connection_owner_test.cpp
@@ -215,6 +215,84 @@
     EXPECT_FALSE(fixture.owner.busy());
 }
 
+/// Guards against statements of a VM that is taken for lost: it may have retried them elsewhere.
+TEST(ConnectionOwner, DoesNotRunQueuedStatementsOfALostVm) {
+    session_fixture fixture;
+    forwarded_statement statement;
+    statement.backend = backend_server_id{"r1"};
+    statement.organisation = organisation_id{"o"};
+    statement.remaining = std::chrono::seconds{1};
+    for (const char* entry : {"b", "b", "b", "b", "c", "c", "b"}) { // Four of them run at once.
+        statement.lease = connection_id{statement.lease.value() + 1};
+        statement.main.value = entry;
+        fixture.owner.submit(at(1), vm_id{entry}, statement, fixture.out);
+    }
+    fixture.accept(2);
+    ASSERT_EQ(fixture.commands().size(), 4U);
+    fixture.owner.forget(vm_id{"c"}, fixture.out);
+    fixture.owner.forget(vm_id{"b"}, fixture.out);
+    fixture.owner.settle(at(3), fixture.out);
+    fixture.accept(4);
+    EXPECT_TRUE(fixture.commands().empty());
+    EXPECT_FALSE(fixture.owner.busy());
+    EXPECT_EQ(fixture.owner.statements_running(), 0U);
+}
+
+struct abandoned_statement_case {
+    const char* name;
+    bool queued; ///< Whether it still waits for a slot, else it runs.
+    bool discard;
+    std::size_t results; ///< Results for its entry VM, which do not say that it was sent.
+};
+
+class AbandonedStatement : public ::testing::TestWithParam<abandoned_statement_case> {};
+
+/// Guards against a statement that outlives the one that its caller has given up: a queued one
+/// still ran, and its connection stayed leased for seconds; a running one was kept in memory for
+/// good.
+TEST_P(AbandonedStatement, IsForgottenByItsOwner) {
+    session_fixture fixture;
+    constexpr std::uint64_t concurrency = 4; // Two statements per slot.
+    forwarded_statement statement;
+    statement.backend = backend_server_id{"r1"};
+    statement.organisation = organisation_id{"o"};
+    statement.remaining = std::chrono::seconds{1};
+    for (std::uint64_t number = 1; number <= concurrency + 1; ++number) {
+        statement.lease = connection_id{1000 + number};
+        statement.attempt = attempt_id{1000 + number};
+        statement.main.value = "statement " + std::to_string(number);
+        fixture.owner.submit(at(1), vm_id{"b"}, statement, fixture.out);
+    }
+    fixture.accept(2);
+    const auto sent = fixture.commands();
+    ASSERT_EQ(sent.size(), concurrency);
+    const auto abandoned = 1000 + (GetParam().queued ? concurrency + 1 : 1);
+    fixture.owner.release(at(3), vm_id{"b"},
+                          {connection_id{abandoned}, statement.backend, false, GetParam().discard},
+                          fixture.out);
+    const auto results = fixture.owner.take_results();
+    EXPECT_EQ(results.size(), GetParam().results);
+    for (const auto& each : results) {
+        EXPECT_EQ(each.result.attempt, attempt_id{abandoned});
+        EXPECT_FALSE(each.result.answered || each.result.sent || each.result.unreachable);
+    }
+    fixture.backends.on_reply(
+        at(4), {sent.back().first, success(transaction_state::idle, point(1, 10)), {}},
+        fixture.out);
+    fixture.owner.settle(at(4), fixture.out);
+    fixture.accept(5);
+    const auto next = fixture.commands();
+    EXPECT_EQ(next.size(), GetParam().queued ? 0U : 1U);
+    EXPECT_EQ(fixture.owner.statements_running(), concurrency - 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    ConnectionOwner, AbandonedStatement,
+    ::testing::Values(abandoned_statement_case{"queued", true, false, 1},
+                      abandoned_statement_case{"queued_discarded", true, true, 0},
+                      abandoned_statement_case{"running_discarded", false, true, 0}),
+    [](const auto& tested) { return std::string{tested.param.name}; });
+
 TEST(ConnectionOwner, GivesBackAsNotRunWhatDoesNotStartInTime) {
     session_fixture fixture;
     for (std::uint64_t i = 0; i < 6; ++i) {
