--- a/include/jackdawvane/adapters/http_call_pool.hpp
+++ b/include/jackdawvane/adapters/http_call_pool.hpp
@@ -25,9 +25,14 @@
     std::string local_address; ///< Source IP address; empty for any.
     std::size_t connection_limit{8};
     std::size_t queue_limit{256}; ///< Calls that wait for a connection.
+    /// Whether each call opens a connection, whose handshake proves that the server can be reached.
+    /// A call on an open connection may be held up by the network and arrive long after its
+    /// timeout.
+    bool connection_per_call{false};
 };
 
-/// @brief Calls to one server over a bounded pool of persistent connections.
+/// @brief Calls to one server over a bounded pool of connections, persistent unless each call has
+/// its own.
 ///
 /// A call is sent at most once, because a write whose answer was lost may have taken effect.
 class http_call_pool {
