Report an attempt whose connection closes with its evacuated domain

Cause, of the same class: the second copy of a read is released, not discarded, when the first is answered. If its server's domain is evacuated meanwhile, the owner closes the connection instead, so no answer follows, and the entry VM counted the attempt as load of that server for good.

Change: the owner tells the entry VM that the attempt got no answer before it closes the connection.

Evidence: StatementEvacuation.AttemptThatIsClosedAtItsReleaseIsReported; before the change release() reported nothing (not run on that code).

--- a/include/jackdawvane/sessions/connection_owner.hpp
+++ b/include/jackdawvane/sessions/connection_owner.hpp
@@ -99,6 +99,8 @@
     void report_not_run(const queued& entry, statement_error problem);
     /// Removes the statement of a released lease from the queue that it waits in, if any.
     void withdraw(const vm_id& entry, const lease_release& release);
+    /// Tells the entry VM that the running statements of a lease get no answer.
+    void end_statements(const lease_key& key, const backend_server_id& backend);
     /// Closes the connection of a lease. Its statements are not answered any more.
     void discard(const lease_key& key, connection_id connection, proxy_output& out);
     void report(const vm_id& entry, attempt_result result);
--- a/src/adapters/http_call_pool.cpp
+++ b/src/adapters/http_call_pool.cpp
@@ -99,7 +99,8 @@
 void http_call_pool::finish(worker& busy, const result<http_answer>& answer) {
     const auto done = std::move(busy.current->done);
     busy.current.reset();
-    if (!answer || settings_.connection_per_call) { // An error has closed the connection.
+    const bool closed = !answer; // An error has closed the connection.
+    if (closed || settings_.connection_per_call) {
         busy.client.reset();
     }
     start_next(busy);
--- a/src/core/sessions/connection_owner.cpp
+++ b/src/core/sessions/connection_owner.cpp
@@ -190,7 +190,10 @@
     // A rollback or reset would be a request to the evacuated domain; closing has the same effect.
     const bool evacuated = state_.evacuation_blocks(now, bound->second.backend);
     leases_.erase(bound);
-    if (release.discard || evacuated) {
+    if (release.discard) {
+        discard({entry, release.lease}, connection, out);
+    } else if (evacuated) {
+        end_statements({entry, release.lease}, release.backend);
         discard({entry, release.lease}, connection, out);
     } else {
         backends_.release(now, connection, release.in_transaction, out);
@@ -214,6 +217,19 @@
     }
 }
 
+void connection_owner::end_statements(const lease_key& key, const backend_server_id& backend) {
+    for (const auto& [id, statement] : running_) {
+        if (statement.key == key) {
+            attempt_result lost;
+            lost.attempt = statement.attempt;
+            lost.lease = key.lease;
+            lost.backend = backend;
+            lost.sent = true;
+            report(key.entry, std::move(lost));
+        }
+    }
+}
+
 void connection_owner::discard(const lease_key& key, connection_id connection, proxy_output& out) {
     std::erase_if(running_, [&](const auto& each) { return each.second.key == key; });
     backends_.discard(connection, out);
@@ -233,9 +249,10 @@
             ++it;
         }
     }
+    // The VM may have retried them elsewhere.
     for (auto& [backend, queue] : queues_) {
-        while (queue.remove_matching([&](const queued& each) { return each.entry == entry; })) {
-            // It may be retried elsewhere, so no statement of a VM that is gone is run.
+        const auto is_of_entry = [&](const queued& each) { return each.entry == entry; };
+        while (queue.remove_matching(is_of_entry)) {
         }
     }
 }
--- a/tests/core/statement_evacuation_test.cpp
+++ b/tests/core/statement_evacuation_test.cpp
@@ -192,6 +192,30 @@
     EXPECT_EQ(answers.front().problem, statement_error::none);
 }
 
+/// Guards against an attempt that its entry VM counts for good: its connection is closed with the
+/// domain, so it gets no answer.
+TEST_F(StatementEvacuation, AttemptThatIsClosedAtItsReleaseIsReported) {
+    forwarded_statement statement;
+    statement.backend = backend_server_id{"r1"};
+    statement.lease = connection_id{1000};
+    statement.attempt = attempt_id{7};
+    statement.organisation = organisation_id{"o"};
+    statement.remaining = std::chrono::seconds{8};
+    fixture.owner.submit(at(1), vm_id{"b"}, statement, fixture.out);
+    fixture.accept(2);
+    ASSERT_EQ(fixture.commands().size(), 1U);
+    evacuate(100, {"d2"});
+    fixture.owner.release(at(4200), vm_id{"b"}, {statement.lease, statement.backend, false, false},
+                          fixture.out);
+    const auto results = fixture.owner.take_results();
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results.front().entry, vm_id{"b"});
+    EXPECT_EQ(results.front().result.attempt, statement.attempt);
+    EXPECT_TRUE(results.front().result.sent);
+    EXPECT_FALSE(results.front().result.answered);
+    EXPECT_EQ(fixture.owner.statements_running(), 0U);
+}
+
 /// Guards against a VM that starts while an evacuation is in effect and sends statements to the
 /// domain before it knows of it.
 TEST_F(StatementEvacuation, NothingIsSentWhileNoListIsKnown) {
